--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+.PHONY: build demo demo-up test lint bench fmt fuzz soak clean
+
+GO      ?= go
+SEEDS   ?= 50
+ONLY    ?=
+BENCH   ?= build/lagoonbarrow-bench
+
+build:
+	$(GO) build -o build/ ./cmd/...
+
+demo: build
+	bash scripts/demo.sh
+
+demo-up: build
+	bash scripts/demo.sh --keep
+
+test:
+	$(GO) test -race -timeout 20m ./...
+
+lint:
+	@out="$$($(GO) tool gofumpt -l .)"; if [ -n "$$out" ]; then echo "gofumpt would change:"; echo "$$out"; exit 1; fi
+	$(GO) tool revive -config revive.toml -set_exit_status ./...
+	$(GO) vet ./...
+
+fmt:
+	$(GO) tool gofumpt -w .
+
+bench: build
+	$(BENCH) -only "$(ONLY)"
+
+soak: build
+	LAGOONBARROW_SEEDS=$(SEEDS) $(GO) test -timeout 60m -count=1 -run 'History|Property' ./...
+
+clean:
+	rm -rf build
--- /dev/null
+++ b/cmd/lagoonbarrow/main.go
@@ -0,0 +1,5 @@
+// Command lagoonbarrow runs a node and its operator commands.
+package main
+
+func main() {
+}
--- /dev/null
+++ b/instance.go
@@ -0,0 +1,45 @@
+package lagoonbarrow
+
+// InstanceState is what the roster knows of an instance.
+type InstanceState uint8
+
+// The states of an instance. Only ready instances receive new work.
+const (
+	StateUnknown InstanceState = iota
+	StateStarting
+	StateReady
+	StateSuspect
+	StateLeaving
+	StateLeft
+	StateDead
+)
+
+var stateNames = [...]string{"unknown", "starting", "ready", "suspect", "leaving", "left", "dead"}
+
+// String returns the state's name.
+func (s InstanceState) String() string {
+	if int(s) >= len(stateNames) {
+		return stateNames[StateUnknown]
+	}
+	return stateNames[s]
+}
+
+// Instance is one node with its backend server, as the roster knows it.
+type Instance struct {
+	ID          InstanceID    `msgpack:"id" json:"id"`
+	Service     ServiceName   `msgpack:"service" json:"service"`
+	Zone        Zone          `msgpack:"zone" json:"zone"`
+	Region      Region        `msgpack:"region" json:"region"`
+	Peer        Address       `msgpack:"peer" json:"peer"`
+	Admin       Address       `msgpack:"admin" json:"admin"`
+	Slots       int           `msgpack:"slots" json:"slots"`
+	Incarnation Incarnation   `msgpack:"incarnation" json:"incarnation"`
+	State       InstanceState `msgpack:"state" json:"state"`
+}
+
+// Load is what a node measured of its own backend server.
+type Load struct {
+	Limit   int `msgpack:"limit" json:"limit"`
+	Running int `msgpack:"running" json:"running"`
+	Queued  int `msgpack:"queued" json:"queued"`
+}
--- /dev/null
+++ b/pkg/event/catalogue_admission.go
@@ -0,0 +1,50 @@
+package event
+
+// Events of admission, numbers 400 to 499.
+var (
+	// OverloadBegan: the admission threshold rose above zero.
+	OverloadBegan = Kind{
+		Number:  400,
+		Name:    "overload-began",
+		Meaning: "the admission threshold rose above zero",
+	}
+	// OverloadEnded: the admission threshold returned to zero.
+	OverloadEnded = Kind{
+		Number:  401,
+		Name:    "overload-ended",
+		Meaning: "the admission threshold returned to zero",
+	}
+	// CallShed: a call was refused by the threshold or a full queue.
+	CallShed = Kind{
+		Number:  402,
+		Name:    "call-shed",
+		Meaning: "a call was refused by the threshold or a full queue",
+	}
+	// CallExpired: a queued call could no longer meet its deadline.
+	CallExpired = Kind{
+		Number:  403,
+		Name:    "call-expired",
+		Meaning: "a queued call could no longer meet its deadline",
+	}
+	// CallPreempted: a running call was cancelled for more important work.
+	CallPreempted = Kind{
+		Number:  404,
+		Name:    "call-preempted",
+		Meaning: "a running call was cancelled for more important work",
+	}
+	// LimitChanged: the concurrency limit changed.
+	LimitChanged = Kind{
+		Number:  405,
+		Name:    "limit-changed",
+		Meaning: "the concurrency limit changed",
+	}
+)
+
+var admissionKinds = []Kind{
+	OverloadBegan,
+	OverloadEnded,
+	CallShed,
+	CallExpired,
+	CallPreempted,
+	LimitChanged,
+}
--- /dev/null
+++ b/pkg/event/catalogue_call.go
@@ -0,0 +1,78 @@
+package event
+
+// Events of requests and calls, numbers 500 to 599.
+var (
+	// RequestAccepted: a customer's request was accepted.
+	RequestAccepted = Kind{
+		Number:  500,
+		Name:    "request-accepted",
+		Meaning: "a customer's request was accepted",
+	}
+	// RequestRefused: a customer's request was refused at entry.
+	RequestRefused = Kind{
+		Number:  501,
+		Name:    "request-refused",
+		Meaning: "a customer's request was refused at entry",
+	}
+	// RequestEnded: a customer's request ended.
+	RequestEnded = Kind{
+		Number:  502,
+		Name:    "request-ended",
+		Meaning: "a customer's request ended",
+	}
+	// CallSent: a call was sent to an instance.
+	CallSent = Kind{
+		Number:  503,
+		Name:    "call-sent",
+		Meaning: "a call was sent to an instance",
+	}
+	// CallReceived: a call arrived from another node.
+	CallReceived = Kind{
+		Number:  504,
+		Name:    "call-received",
+		Meaning: "a call arrived from another node",
+	}
+	// CallRun: a call was sent to the backend server.
+	CallRun = Kind{
+		Number:  505,
+		Name:    "call-run",
+		Meaning: "a call was sent to the backend server",
+	}
+	// CallEnded: the backend server's part of a call ended.
+	CallEnded = Kind{
+		Number:  506,
+		Name:    "call-ended",
+		Meaning: "the backend server's part of a call ended",
+	}
+	// CallRetried: a call was sent again.
+	CallRetried = Kind{
+		Number:  507,
+		Name:    "call-retried",
+		Meaning: "a call was sent again",
+	}
+	// RetryExhausted: a call was not sent again because no retry token was left.
+	RetryExhausted = Kind{
+		Number:  508,
+		Name:    "retry-exhausted",
+		Meaning: "a call was not sent again because no retry token was left",
+	}
+	// RepeatRefused: an application's repeat of a call was refused.
+	RepeatRefused = Kind{
+		Number:  509,
+		Name:    "repeat-refused",
+		Meaning: "an application's repeat of a call was refused",
+	}
+)
+
+var callKinds = []Kind{
+	RequestAccepted,
+	RequestRefused,
+	RequestEnded,
+	CallSent,
+	CallReceived,
+	CallRun,
+	CallEnded,
+	CallRetried,
+	RetryExhausted,
+	RepeatRefused,
+}
--- /dev/null
+++ b/pkg/event/catalogue_quota.go
@@ -0,0 +1,29 @@
+package event
+
+// Events of customer limits, numbers 900 to 999.
+var (
+	// QuotaExceeded: a customer asked for more work than its contract allows.
+	QuotaExceeded = Kind{
+		Number:  900,
+		Name:    "quota-exceeded",
+		Meaning: "a customer asked for more work than its contract allows",
+	}
+	// QuotaFloor: the share holder did not answer and the floor applies.
+	QuotaFloor = Kind{
+		Number:  901,
+		Name:    "quota-floor",
+		Meaning: "the share holder did not answer and the floor applies",
+	}
+	// QuotaShare: a new share came into force.
+	QuotaShare = Kind{
+		Number:  902,
+		Name:    "quota-share",
+		Meaning: "a new share came into force",
+	}
+)
+
+var quotaKinds = []Kind{
+	QuotaExceeded,
+	QuotaFloor,
+	QuotaShare,
+}
