Carry the hybrid logical clock on calls and answers

Cause: the time line over all processes needs an order that wall clocks alone don't give. Change: Call and Answer carry a stamp; Clock reads and advances it.

--- a/call.go
+++ b/call.go
@@ -1,6 +1,10 @@
 package lagoonbarrow
 
-import "time"
+import (
+	"time"
+
+	"lagoonbarrow/pkg/event"
+)
 
 // Outcome tells whether a call was run by a backend server.
 type Outcome string
@@ -91,6 +95,8 @@
 	// Tokens are the additional attempts that the callee may make below.
 	Tokens Tokens `msgpack:"tokens"`
 	Depth  int    `msgpack:"depth"`
+	// Stamp carries the sender's hybrid logical clock.
+	Stamp event.Stamp `msgpack:"stamp"`
 	// Key is the caller's idempotency key or request key; empty without one.
 	Key string `msgpack:"key,omitempty"`
 	// AtMostOnce is set on all calls of a request that is not idempotent.
@@ -130,6 +136,8 @@
 	RowVersion RowVersion `msgpack:"row-version,omitempty"`
 	// RetryAfter is when another try may succeed; 0 when unknown.
 	RetryAfter time.Duration `msgpack:"retry-after,omitempty"`
+	// Stamp carries the sender's hybrid logical clock.
+	Stamp event.Stamp `msgpack:"stamp"`
 }
 
 // Refuse returns an answer for a call that was not run.
--- a/interfaces.go
+++ b/interfaces.go
@@ -258,6 +258,13 @@
 	Allow(record ContractRecord, units WorkUnits) (bool, time.Duration)
 }
 
+// Clock is a hybrid logical clock, which orders events over all processes.
+type Clock interface {
+	Now() event.Stamp
+	// Observe moves the clock past a stamp received from another process.
+	Observe(stamp event.Stamp)
+}
+
 // Recorder takes events for the time line.
 type Recorder interface {
 	Record(kind event.Kind, fields event.Fields)
