Add the roster's exported API

Cause: the node wiring needs the names before the implementation exists. Conclusion: compiles; nothing works yet.

--- /dev/null
+++ b/internal/process/roster/config.go
@@ -0,0 +1,124 @@
+package roster
+
+import (
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+
+	"lagoonbarrow"
+)
+
+// Gossip is the contract revision that every probe and probe answer carries.
+type Gossip struct {
+	Revision lagoonbarrow.Revision
+	// HeadAge is the time since some node confirmed Revision against the
+	// platform; negative when no confirmation is known.
+	HeadAge time.Duration
+}
+
+// Defaults of Config. The probe interval and the suspicion time together bound
+// the detection of a dead instance to about 10 s in fleets of up to 7,800.
+const (
+	DefaultProbeInterval    = time.Second
+	DefaultProbeTimeout     = 500 * time.Millisecond
+	DefaultSuspicionTime    = 5 * time.Second
+	DefaultDigestInterval   = 30 * time.Second
+	DefaultHealInterval     = time.Minute
+	DefaultLeftRetention    = 10 * time.Minute
+	DefaultDeadRetention    = 24 * time.Hour
+	DefaultRowRemovalDelay  = 30 * time.Minute
+	DefaultBudgetPerSecond  = 2000
+	defaultIndirectProbers  = 3
+	defaultSeedRows         = 8
+	maxRowRemovalsPerSecond = 2
+)
+
+// Config holds what a Roster needs. Zero durations and counts take defaults.
+type Config struct {
+	// Self is this instance's own record. Incarnation and State are ignored.
+	Self      lagoonbarrow.Instance
+	Table     lagoonbarrow.Table
+	Transport lagoonbarrow.Transport
+	Recorder  lagoonbarrow.Recorder
+	// Scope and Logger may be nil.
+	Scope  tally.Scope
+	Logger hclog.Logger
+
+	// LocalGossip returns the revision to send with probes; nil sends none.
+	LocalGossip func() Gossip
+	// OnGossip receives a peer's revision. HeadAge includes an estimate of the
+	// transit time. It is called from message handlers and must not block.
+	OnGossip func(from lagoonbarrow.Instance, g Gossip)
+	// OnSuperseded is called once when a later process with the same instance
+	// id is found to be running. This node no longer announces itself then.
+	OnSuperseded func()
+
+	// ProbeInterval is the shortest time between two probes of this node.
+	ProbeInterval time.Duration
+	// ProbeTimeout bounds a direct probe; the indirect probes get the same again.
+	ProbeTimeout time.Duration
+	// SuspicionTime is how long a suspect instance has for its refutation.
+	// Larger fleets get more, see suspicionTime.
+	SuspicionTime time.Duration
+	// DigestInterval is the mean time between digest exchanges.
+	DigestInterval time.Duration
+	// HealInterval is the time between probes of dead members and re-reads of rows.
+	HealInterval time.Duration
+	// LeftRetention is how long the record of an instance that left is kept.
+	LeftRetention time.Duration
+	// DeadRetention is how long the record of a dead instance is kept.
+	DeadRetention time.Duration
+	// RowRemovalDelay is how long an instance must be dead before its row is removed.
+	RowRemovalDelay time.Duration
+	// BudgetPerSecond is the number of bytes that this package may send in a
+	// second, connection set-up included. It is less than the 3 KB/s for all
+	// control traffic, because contracts and shares need the rest.
+	BudgetPerSecond int
+}
+
+func (c *Config) check() error {
+	if c.Self.ID == "" || c.Self.Service == "" || c.Self.Peer == "" {
+		return errors.Wrap(lagoonbarrow.ErrInvalid, "roster: own record needs id, service and peer address")
+	}
+	if c.Table == nil || c.Transport == nil || c.Recorder == nil {
+		return errors.Wrap(lagoonbarrow.ErrInvalid, "roster: table, transport and recorder are required")
+	}
+	return nil
+}
+
+func (c *Config) setDefaults() {
+	setDuration(&c.ProbeInterval, DefaultProbeInterval)
+	setDuration(&c.ProbeTimeout, DefaultProbeTimeout)
+	setDuration(&c.SuspicionTime, DefaultSuspicionTime)
+	setDuration(&c.DigestInterval, DefaultDigestInterval)
+	setDuration(&c.HealInterval, DefaultHealInterval)
+	setDuration(&c.LeftRetention, DefaultLeftRetention)
+	setDuration(&c.DeadRetention, DefaultDeadRetention)
+	setDuration(&c.RowRemovalDelay, DefaultRowRemovalDelay)
+	if c.BudgetPerSecond <= 0 {
+		c.BudgetPerSecond = DefaultBudgetPerSecond
+	}
+	if c.Scope == nil {
+		c.Scope = tally.NoopScope
+	}
+	if c.Logger == nil {
+		c.Logger = hclog.NewNullLogger()
+	}
+	if c.LocalGossip == nil {
+		c.LocalGossip = func() Gossip { return Gossip{HeadAge: -1} }
+	}
+	if c.OnGossip == nil {
+		c.OnGossip = func(lagoonbarrow.Instance, Gossip) {}
+	}
+	if c.OnSuperseded == nil {
+		c.OnSuperseded = func() {}
+	}
+}
+
+func setDuration(value *time.Duration, fallback time.Duration) {
+	if *value <= 0 {
+		*value = fallback
+	}
+}
