--- /dev/null
+++ b/internal/request/claim/config.go
@@ -0,0 +1,64 @@
+// Package claim makes requests that are not idempotent run at most once. A
+// request's idempotency key is claimed by a compare-and-set on a row of the
+// platform's table before a backend server runs anything.
+package claim
+
+import (
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/uber-go/tally/v4"
+
+	"lagoonbarrow"
+)
+
+// Table is the name of the table that holds the claim rows.
+const Table = "claims"
+
+// HeaderAnswer marks the answer to a repeat whose original answer is not kept.
+const HeaderAnswer = lagoonbarrow.HeaderPrefix + "Answer"
+
+// The values of HeaderAnswer.
+const (
+	// AnswerTooLarge: the answer was larger than Config.AnswerBytes. The
+	// status is the original one and the body is empty.
+	AnswerTooLarge = "too-large"
+	// AnswerSettled: an operator declared that the request ran. The status is
+	// 200 and the body is empty.
+	AnswerSettled = "settled"
+)
+
+// Config sets up Claims. Zero values are replaced by the defaults given.
+type Config struct {
+	// Table is required.
+	Table lagoonbarrow.Table
+	// Self is written into the rows.
+	Self lagoonbarrow.InstanceID
+	// CompleteTimeout bounds the wait of Complete and Void for the table
+	// before the write continues in the background; default 1 s.
+	CompleteTimeout time.Duration
+	// AnswerBytes bounds the header and body bytes of a kept answer; default 64 KiB.
+	AnswerBytes int
+	// SettleMargin is added to a claim's deadline before Settle accepts it, to
+	// allow for clock differences between instances; default 5 s.
+	SettleMargin time.Duration
+	// QueueLength bounds the writes that continue in the background; default 4,096.
+	QueueLength int
+	// Workers bounds the background writes under way; default 8.
+	Workers int
+	// RetryDelay is the first delay between tries in the background; it
+	// doubles up to RetryDelayMax, and each wait is drawn from half of it to
+	// the whole. Defaults 100 ms and 2 s.
+	RetryDelay    time.Duration
+	RetryDelayMax time.Duration
+	// StopTimeout bounds the wait of Stop for background writes; default 2 s.
+	StopTimeout time.Duration
+	// Now is the clock; default time.Now.
+	Now func() time.Time
+	// Recorder takes events; may be nil.
+	Recorder lagoonbarrow.Recorder
+	// Scope takes metrics; may be nil.
+	Scope tally.Scope
+	// Logger may be nil.
+	Logger hclog.Logger
+}
