--- /dev/null
+++ b/internal/process/metrics/metrics.go
@@ -0,0 +1,75 @@
+// Package metrics holds the process's metrics scope and the page that
+// scrapers read.
+package metrics
+
+import (
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
+
+	"lagoonbarrow"
+)
+
+// reportInterval is how often counters are handed to the scrape page.
+const reportInterval = time.Second
+
+// Config configures Metrics.
+type Config struct {
+	Instance lagoonbarrow.InstanceID
+	Service  lagoonbarrow.ServiceName
+	Zone     lagoonbarrow.Zone
+}
+
+// Metrics holds a tally scope whose values are scraped over HTTP.
+type Metrics struct {
+	scope   tally.Scope
+	closer  io.Closer
+	handler fasthttp.RequestHandler
+}
+
+// New returns a scope tagged with the instance, service and availability zone.
+func New(config Config) (*Metrics, error) {
+	reporter, err := prometheus.Configuration{}.NewReporter(prometheus.ConfigurationOptions{})
+	if err != nil {
+		return nil, errors.Wrap(err, "metrics: create reporter")
+	}
+	scope, closer := tally.NewRootScope(
+		tally.ScopeOptions{
+			Prefix:         "lagoonbarrow",
+			CachedReporter: reporter,
+			Separator:      prometheus.DefaultSeparator,
+			Tags: map[string]string{
+				"instance": string(config.Instance),
+				"service":  string(config.Service),
+				"zone":     string(config.Zone),
+			},
+			SanitizeOptions: &prometheus.DefaultSanitizerOpts,
+		},
+		reportInterval,
+	)
+	return &Metrics{
+		scope:   scope,
+		closer:  closer,
+		handler: fasthttpadaptor.NewFastHTTPHandler(reporter.HTTPHandler()),
+	}, nil
+}
+
+// Scope returns the root scope.
+func (m *Metrics) Scope() tally.Scope {
+	return m.scope
+}
+
+// Handler serves the scrape page.
+func (m *Metrics) Handler() fasthttp.RequestHandler {
+	return m.handler
+}
+
+// Close stops the reporting of counters.
+func (m *Metrics) Close() error {
+	return m.closer.Close()
+}
--- /dev/null
+++ b/internal/request/call/handler.go
@@ -0,0 +1,288 @@
+package call
+
+import (
+	"context"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+
+	"lagoonbarrow"
+	"lagoonbarrow/pkg/event"
+)
+
+// retryAfterShed is what callers are told after a refusal for overload. It is
+// two of admission's windows short of the longest recovery that is aimed at.
+const retryAfterShed = time.Second
+
+// HandlerConfig configures a Handler.
+type HandlerConfig struct {
+	Admission lagoonbarrow.Admission
+	Ledger    lagoonbarrow.Ledger
+	Claims    lagoonbarrow.Claims
+	Backend   lagoonbarrow.Backend
+	Recorder  lagoonbarrow.Recorder
+	Clock     lagoonbarrow.Clock
+	Scope     tally.Scope
+	// ClaimAnswerWait bounds the wait for a completed claim's answer to be kept.
+	ClaimAnswerWait time.Duration
+	// Plain runs at-most-once calls without a claim, as the baseline of measurements.
+	Plain bool
+}
+
+// Handler serves calls from other nodes and from this one. It implements
+// lagoonbarrow.CallHandler.
+type Handler struct {
+	config   HandlerConfig
+	tracker  *tracker
+	ready    atomic.Bool
+	leaving  atomic.Bool
+	inFlight atomic.Int64
+	received tally.Counter
+	run      tally.Counter
+}
+
+// NewHandler returns a handler that refuses calls until SetReady.
+func NewHandler(config HandlerConfig) *Handler {
+	return &Handler{
+		config:   config,
+		tracker:  newTracker(),
+		received: config.Scope.Counter("calls-received"),
+		run:      config.Scope.Counter("calls-run"),
+	}
+}
+
+// SetReady states whether the node has contracts and its backend server answers.
+func (h *Handler) SetReady(ready bool) {
+	h.ready.Store(ready)
+}
+
+// Leave refuses all new calls from now on.
+func (h *Handler) Leave() {
+	h.leaving.Store(true)
+}
+
+// InFlight returns the number of calls that are queued or running.
+func (h *Handler) InFlight() int {
+	return int(h.inFlight.Load())
+}
+
+// HandleCall serves one call. It always returns an answer.
+func (h *Handler) HandleCall(ctx context.Context, call *lagoonbarrow.Call) *lagoonbarrow.Answer {
+	h.config.Clock.Observe(call.Stamp)
+	h.received.Inc(1)
+	// Counted before the check of leaving, so that a stop that sees no call in
+	// flight can't miss one that passed the check.
+	h.inFlight.Add(1)
+	defer h.inFlight.Add(-1)
+	deadline := time.Now().Add(call.Remaining)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	answer := h.serve(ctx, call, deadline)
+	answer.Call = call.ID
+	answer.Load = h.config.Admission.Load()
+	answer.Threshold = max(answer.Threshold, h.config.Admission.Threshold())
+	answer.Stamp = h.config.Clock.Now()
+	return answer
+}
+
+func (h *Handler) serve(ctx context.Context, call *lagoonbarrow.Call, deadline time.Time) *lagoonbarrow.Answer {
+	if reason := h.refusal(call); reason != lagoonbarrow.ReasonNone {
+		return refuseUnused(call, reason)
+	}
+	permit, err := h.config.Admission.Admit(ctx, lagoonbarrow.Work{
+		Request:   call.Request,
+		Customer:  call.Customer,
+		Class:     call.Class,
+		Priority:  call.Priority,
+		Long:      call.Long,
+		Deadline:  deadline,
+		Operation: Operation(call),
+	})
+	if err != nil {
+		answer := refuseUnused(call, admissionReason(err))
+		answer.RetryAfter = retryAfterShed
+		return answer
+	}
+	account, err := h.open(call, deadline)
+	if err != nil {
+		permit.Release(false)
+		return lagoonbarrow.Refuse(call.ID, lagoonbarrow.ReasonExhausted)
+	}
+	h.tracker.open(call.ID)
+	answer := h.admitted(permit, call, deadline)
+	met := h.tracker.close(call.ID)
+	answer.TokensLeft = account.Close()
+	answer.Threshold = max(answer.Threshold, met.threshold)
+	if met.overloaded && answer.Outcome == lagoonbarrow.OutcomeUnknown {
+		answer.Reason = lagoonbarrow.ReasonExhausted
+	}
+	permit.Release(answer.Outcome == lagoonbarrow.OutcomeDone)
+	return answer
+}
+
+func (h *Handler) refusal(call *lagoonbarrow.Call) lagoonbarrow.Reason {
+	switch {
+	case h.leaving.Load():
+		return lagoonbarrow.ReasonLeaving
+	case !h.ready.Load():
+		return lagoonbarrow.ReasonNotReady
+	case call.Depth > lagoonbarrow.MaxDepth:
+		return lagoonbarrow.ReasonDepth
+	default:
+		return lagoonbarrow.ReasonNone
+	}
+}
+
+// open registers the call. Re-sends of an idempotent request under a key share
+// one budget; at-most-once requests are bounded by their claim instead, so that
+// a repeat can always fetch the kept answer.
+func (h *Handler) open(call *lagoonbarrow.Call, deadline time.Time) (lagoonbarrow.Account, error) {
+	if call.Key != "" && call.Attempt == "" && !h.config.Plain {
+		return h.config.Ledger.OpenKeyed(call, deadline)
+	}
+	return h.config.Ledger.Open(call, deadline), nil
+}
+
+func (h *Handler) admitted(permit lagoonbarrow.Permit, call *lagoonbarrow.Call, deadline time.Time) *lagoonbarrow.Answer {
+	if call.Attempt == "" || h.config.Plain {
+		return h.runBackend(permit.Context(), call, deadline)
+	}
+	return h.runOnce(permit.Context(), call, deadline)
+}
+
+func (h *Handler) runBackend(ctx context.Context, call *lagoonbarrow.Call, deadline time.Time) *lagoonbarrow.Answer {
+	h.run.Inc(1)
+	h.record(event.CallRun, call, "")
+	answer := h.config.Backend.Run(ctx, call, deadline)
+	if errors.Is(context.Cause(ctx), lagoonbarrow.ErrPreempted) && answer.Outcome != lagoonbarrow.OutcomeDone {
+		answer.Reason = lagoonbarrow.ReasonShed
+		answer.RetryAfter = retryAfterShed
+	}
+	h.record(event.CallEnded, call, string(answer.Outcome)+" "+string(answer.Reason))
+	return answer
+}
+
+// runOnce claims the call's key, runs the call and keeps its answer.
+func (h *Handler) runOnce(ctx context.Context, call *lagoonbarrow.Call, deadline time.Time) *lagoonbarrow.Answer {
+	claim, err := h.config.Claims.Take(ctx, call, deadline)
+	if err != nil {
+		return h.notTaken(call, claim, err)
+	}
+	h.record(event.ClaimTaken, call, "")
+	// A claimed request is finished even if its caller goes away, because its
+	// outcome is kept for the caller's next try.
+	running, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
+	answer := h.runBackend(running, call, deadline)
+	cancel()
+	switch answer.Outcome {
+	case lagoonbarrow.OutcomeDone:
+		h.complete(call, claim, answer)
+	case lagoonbarrow.OutcomeNotRun:
+		h.void(call, claim, answer)
+	default:
+		h.record(event.ClaimUnknown, call, string(answer.Reason))
+	}
+	return answer
+}
+
+func (h *Handler) complete(call *lagoonbarrow.Call, claim lagoonbarrow.Claim, answer *lagoonbarrow.Answer) {
+	ctx, cancel := context.WithTimeout(context.Background(), h.config.ClaimAnswerWait)
+	defer cancel()
+	if err := h.config.Claims.Complete(ctx, claim, answer); err != nil {
+		h.record(event.ClaimUnknown, call, err.Error())
+		return
+	}
+	h.record(event.ClaimCompleted, call, "")
+}
+
+// void declares the claim not run. If that can't be written, the row stays
+// claimed and no later attempt may run; "not run" stays true of this one.
+func (h *Handler) void(call *lagoonbarrow.Call, claim lagoonbarrow.Claim, answer *lagoonbarrow.Answer) {
+	ctx, cancel := context.WithTimeout(context.Background(), h.config.ClaimAnswerWait)
+	defer cancel()
+	if err := h.config.Claims.Void(ctx, claim); err != nil {
+		h.record(event.ClaimUnknown, call, err.Error())
+		return
+	}
+	answer.RowVersion = claim.Version + 1
+	if answer.Reason == lagoonbarrow.ReasonBackend {
+		answer.Reason = lagoonbarrow.ReasonVoided
+	}
+	h.record(event.ClaimVoided, call, "backend server did not run the call")
+}
+
+// notTaken answers a call whose key could not be claimed.
+func (h *Handler) notTaken(call *lagoonbarrow.Call, claim lagoonbarrow.Claim, err error) *lagoonbarrow.Answer {
+	switch {
+	case errors.Is(err, lagoonbarrow.ErrMismatch):
+		return lagoonbarrow.Refuse(call.ID, lagoonbarrow.ReasonMismatch)
+	case errors.Is(err, lagoonbarrow.ErrVoided):
+		answer := lagoonbarrow.Refuse(call.ID, lagoonbarrow.ReasonVoided)
+		answer.RowVersion = claim.Version
+		return answer
+	case errors.Is(err, lagoonbarrow.ErrClaimed) && claim.State == lagoonbarrow.ClaimCompleted && claim.Answer != nil:
+		h.record(event.ClaimRepeated, call, "")
+		answer := *claim.Answer
+		return &answer
+	case errors.Is(err, lagoonbarrow.ErrClaimed):
+		h.record(event.ClaimRefused, call, string(claim.Attempt))
+		return unknown(call.ID, lagoonbarrow.ReasonClaimed)
+	case errors.Is(err, lagoonbarrow.ErrDeadline):
+		return lagoonbarrow.Refuse(call.ID, lagoonbarrow.ReasonDeadline)
+	default:
+		h.record(event.ClaimRefused, call, err.Error())
+		return lagoonbarrow.Refuse(call.ID, lagoonbarrow.ReasonPlatform)
+	}
+}
+
+func (h *Handler) record(kind event.Kind, call *lagoonbarrow.Call, detail string) {
+	h.config.Recorder.Record(kind, event.Fields{
+		Request:  string(call.Request),
+		Customer: string(call.Customer),
+		Class:    string(call.Class),
+		Detail:   detail,
+	})
+}
+
+// refuseUnused refuses a call before any of its tokens were used.
+func refuseUnused(call *lagoonbarrow.Call, reason lagoonbarrow.Reason) *lagoonbarrow.Answer {
+	answer := lagoonbarrow.Refuse(call.ID, reason)
+	answer.TokensLeft = call.Tokens
+	return answer
+}
+
+func admissionReason(err error) lagoonbarrow.Reason {
+	if errors.Is(err, lagoonbarrow.ErrShed) {
+		return lagoonbarrow.ReasonShed
+	}
+	if errors.Is(err, lagoonbarrow.ErrDeadline) {
+		return lagoonbarrow.ReasonDeadline
+	}
+	return lagoonbarrow.ReasonCancelled
+}
+
+// operationSegments is how many path segments name an operation; segments
+// after them are usually ids.
+const operationSegments = 2
+
+// Operation names calls that are expected to take a similar time: service,
+// method and the first two path segments.
+func Operation(call *lagoonbarrow.Call) string {
+	path, _, _ := strings.Cut(call.Path, "?")
+	end := len(path)
+	slashes := 0
+	for position := range len(path) {
+		if path[position] != '/' {
+			continue
+		}
+		slashes++
+		if slashes > operationSegments {
+			end = position
+			break
+		}
+	}
+	return string(call.Service) + " " + call.Method + " " + path[:end]
+}
--- /dev/null
+++ b/internal/request/entry/server.go
@@ -0,0 +1,87 @@
+// Package entry serves customers' requests and the downstream calls of the
+// backend server beside this node.
+package entry
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"lagoonbarrow"
+)
+
+const (
+	// headTimeout bounds the time to read a request, against clients that send slowly.
+	headTimeout = 30 * time.Second
+	// idleTimeout closes unused connections.
+	idleTimeout = time.Minute
+)
+
+// Limits bound what a listener takes from outside.
+type Limits struct {
+	BodyBytes   int
+	HeaderBytes int
+	Connections int
+}
+
+// server is an HTTP listener.
+type server struct {
+	address  lagoonbarrow.Address
+	http     *fasthttp.Server
+	listener net.Listener
+	watcher  *disconnects
+	failed   chan error
+}
+
+func newServer(address lagoonbarrow.Address, limits Limits, handler fasthttp.RequestHandler) *server {
+	return &server{
+		address: address,
+		http: &fasthttp.Server{
+			Handler:                      handler,
+			Name:                         "lagoonbarrow",
+			MaxRequestBodySize:           limits.BodyBytes,
+			ReadBufferSize:               limits.HeaderBytes,
+			Concurrency:                  limits.Connections,
+			ReadTimeout:                  headTimeout,
+			IdleTimeout:                  idleTimeout,
+			CloseOnShutdown:              true,
+			DisablePreParseMultipartForm: true,
+			NoDefaultServerHeader:        true,
+			Logger:                       silent{},
+		},
+		watcher: newDisconnects(),
+		failed:  make(chan error, 1),
+	}
+}
+
+// silent drops fasthttp's own log lines, which repeat what clients did wrong.
+type silent struct{}
+
+// Printf implements fasthttp.Logger.
+func (silent) Printf(string, ...any) {}
+
+func (s *server) start() (lagoonbarrow.Address, error) {
+	listener, err := net.Listen("tcp", string(s.address))
+	if err != nil {
+		return "", errors.Wrapf(err, "entry: listen on %s", s.address)
+	}
+	s.listener = listener
+	s.watcher.start()
+	go func() {
+		s.failed <- s.http.Serve(listener)
+	}()
+	return lagoonbarrow.Address(listener.Addr().String()), nil
+}
+
+// stop closes the listener and waits for requests in progress.
+func (s *server) stop(ctx context.Context) error {
+	if s.listener == nil {
+		return nil
+	}
+	err := s.http.ShutdownWithContext(ctx)
+	s.watcher.close()
+	return errors.Wrap(err, "entry: stop listener")
+}
