--- /dev/null
+++ b/internal/process/admission/config.go
@@ -0,0 +1,86 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+
+	"lagoonbarrow"
+)
+
+// Defaults of Config, from sections 3.2 to 3.4 of the design page.
+const (
+	DefaultTargetQueueDelay = 20 * time.Millisecond
+	DefaultWindow           = 100 * time.Millisecond
+	DefaultLongShare        = 0.25
+	DefaultCriticalReserve  = 0.10
+)
+
+// Clock tells the time; tests replace it.
+type Clock interface {
+	Now() time.Time
+}
+
+type systemClock struct{}
+
+func (systemClock) Now() time.Time {
+	return time.Now()
+}
+
+// Config configures a Gate. Zero values select the defaults.
+type Config struct {
+	// Slots is the highest number of calls that the backend server runs at once. Required.
+	Slots int
+	// TargetQueueDelay is the standing queueing delay above which the threshold
+	// rises, and the longest wait of critical work before it preempts other work.
+	TargetQueueDelay time.Duration
+	// Window is the interval between changes of the threshold and the limit.
+	Window time.Duration
+	// LongShare is the part of the limit that long work may use, from 0 to 1.
+	LongShare float64
+	// CriticalReserve is the part of the limit that only critical work may use,
+	// from 0 to 1. At least one slot is reserved.
+	CriticalReserve float64
+	// Recorder takes the gate's events. Optional.
+	Recorder lagoonbarrow.Recorder
+	// Scope takes the gate's metrics. Optional.
+	Scope tally.Scope
+	// Clock defaults to the system's clock.
+	Clock Clock
+	// Plain turns the gate into one first-come queue of four times the slots
+	// without thresholds, priorities, lanes, preemption or an adaptive limit. It is
+	// the baseline of benchmarks.
+	Plain bool
+}
+
+func (c Config) withDefaults() (Config, error) {
+	if c.Slots < 1 {
+		return c, errors.Wrapf(lagoonbarrow.ErrInvalid, "admission: check slots %d", c.Slots)
+	}
+	if c.LongShare < 0 || c.LongShare > 1 {
+		return c, errors.Wrapf(lagoonbarrow.ErrInvalid, "admission: check long share %g", c.LongShare)
+	}
+	if c.CriticalReserve < 0 || c.CriticalReserve >= 1 {
+		return c, errors.Wrapf(lagoonbarrow.ErrInvalid, "admission: check critical reserve %g", c.CriticalReserve)
+	}
+	if c.TargetQueueDelay <= 0 {
+		c.TargetQueueDelay = DefaultTargetQueueDelay
+	}
+	if c.Window <= 0 {
+		c.Window = DefaultWindow
+	}
+	if c.LongShare == 0 {
+		c.LongShare = DefaultLongShare
+	}
+	if c.CriticalReserve == 0 {
+		c.CriticalReserve = DefaultCriticalReserve
+	}
+	if c.Scope == nil {
+		c.Scope = tally.NoopScope
+	}
+	if c.Clock == nil {
+		c.Clock = systemClock{}
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/process/admission/status.go
@@ -0,0 +1,56 @@
+package admission
+
+import (
+	"time"
+
+	"lagoonbarrow"
+)
+
+// Status describes the gate at one moment.
+type Status struct {
+	// Slots is the upper bound of Limit.
+	Slots int `json:"slots"`
+	// Limit is the present concurrency limit.
+	Limit int `json:"limit"`
+	// LimitReason tells why Limit has its present value.
+	LimitReason string `json:"limit-reason"`
+	// Running counts the calls that hold a slot, in both lanes.
+	Running int `json:"running"`
+	// Short and Long describe the lanes.
+	Short LaneStatus `json:"short"`
+	Long  LaneStatus `json:"long"`
+	// LongOperations are the operations that were declared short and measured as long.
+	LongOperations []string `json:"long-operations,omitempty"`
+	// Threshold is the lowest priority that the short lane admits.
+	Threshold lagoonbarrow.Threshold `json:"threshold"`
+	// Admitted, Shed, Expired and Preempted count calls by importance since the start.
+	Admitted  map[string]uint64 `json:"admitted"`
+	Shed      map[string]uint64 `json:"shed"`
+	Expired   map[string]uint64 `json:"expired"`
+	Preempted map[string]uint64 `json:"preempted"`
+}
+
+// LaneStatus describes one lane of the gate.
+type LaneStatus struct {
+	// Limit is the highest number of calls that the lane may run.
+	Limit     int                    `json:"limit"`
+	Running   int                    `json:"running"`
+	Queued    int                    `json:"queued"`
+	Threshold lagoonbarrow.Threshold `json:"threshold"`
+	// QueueDelay is the standing queueing delay of the last window.
+	QueueDelay time.Duration `json:"queue-delay"`
+}
+
+// levelNames are the keys of the counters in Status, by importance.
+var levelNames = [levels]string{"none", "deferrable", "normal", "critical"}
+
+// levels is the number of importance levels.
+const levels = int(lagoonbarrow.ImportanceCritical) + 1
+
+func countsByName(counts [levels]uint64) map[string]uint64 {
+	named := make(map[string]uint64, levels)
+	for level, count := range counts {
+		named[levelNames[level]] = count
+	}
+	return named
+}
