--- /dev/null
+++ b/internal/version/contract/push.go
@@ -0,0 +1,132 @@
+package contract
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"lagoonbarrow"
+)
+
+// pushPeers is the number of random peers that a push goes to.
+const pushPeers = 4
+
+// push sends new records to random peers. forward asks them to do the same
+// once.
+func (d *Distributor) push(records []lagoonbarrow.ContractRecord, forward bool) {
+	revision, age, _ := d.Gossip()
+	message, err := encodeMessage(KindPush, pushMessage{
+		Revision: revision,
+		Age:      age,
+		Forward:  forward,
+		Records:  fitting(records),
+	})
+	if err != nil {
+		return
+	}
+	for _, peer := range d.randomPeers() {
+		// A full pool drops the push; gossip delivers the revision as well.
+		_, _ = d.pool.TrySubmit(func() {
+			d.send(peer, message)
+		})
+	}
+}
+
+func (d *Distributor) send(to lagoonbarrow.Address, message lagoonbarrow.Message) {
+	ctx, cancel := d.requestContext(context.Background())
+	defer cancel()
+	d.metrics.pushes.Inc(1)
+	_, _ = d.config.Transport.Send(ctx, to, message)
+}
+
+// fitting returns the first records that fit into one message. The receiver
+// pulls the rest.
+func fitting(records []lagoonbarrow.ContractRecord) []lagoonbarrow.ContractRecord {
+	total := 0
+	for index := range records {
+		total += recordSize(records[index])
+		if total > maxMessageBytes {
+			return records[:index]
+		}
+	}
+	return records
+}
+
+func (d *Distributor) randomPeers() []lagoonbarrow.Address {
+	self := d.config.Roster.Self().ID
+	live := d.config.Roster.Live()
+	rand.Shuffle(len(live), func(i, j int) {
+		live[i], live[j] = live[j], live[i]
+	})
+	var peers []lagoonbarrow.Address
+	for index := range live {
+		if live[index].ID == self || len(peers) == pushPeers {
+			continue
+		}
+		peers = append(peers, live[index].Peer)
+	}
+	return peers
+}
+
+// HandleMessage serves pushes, pulls and status requests of peers.
+func (d *Distributor) HandleMessage(_ context.Context, from lagoonbarrow.InstanceID, message lagoonbarrow.Message) (lagoonbarrow.Message, error) {
+	switch message.Kind {
+	case KindPush:
+		return d.handlePush(from, message)
+	case KindPull:
+		return d.handlePull(message)
+	case KindStatus:
+		return encodeMessage(KindStatus, d.Status())
+	default:
+		return lagoonbarrow.Message{}, errUnknownKind(message.Kind)
+	}
+}
+
+// Status tells which contracts are in force on this node.
+func (d *Distributor) Status() Status {
+	revision, age, known := d.Gossip()
+	return Status{
+		Revision: revision,
+		Ready:    known,
+		Age:      age.Round(time.Millisecond),
+	}
+}
+
+func (d *Distributor) handlePush(from lagoonbarrow.InstanceID, message lagoonbarrow.Message) (lagoonbarrow.Message, error) {
+	push, err := decodePush(message)
+	if err != nil {
+		return lagoonbarrow.Message{}, err
+	}
+	applied := d.config.Registry.Apply(push.Records)
+	sender, known := d.config.Roster.Lookup(from)
+	if known {
+		d.Observe(sender, push.Revision, push.Age, true)
+	}
+	if len(applied) > 0 && push.Forward {
+		d.push(applied, false)
+	}
+	return encodeMessage(KindPush, d.Status())
+}
+
+func (d *Distributor) handlePull(message lagoonbarrow.Message) (lagoonbarrow.Message, error) {
+	var request pullRequest
+	if err := decodeMessage(message, &request); err != nil {
+		return lagoonbarrow.Message{}, err
+	}
+	revision, age, known := d.Gossip()
+	if !known {
+		return lagoonbarrow.Message{}, errNotReady
+	}
+	records, complete := d.config.Registry.Recent(request.After, maxMessageBytes)
+	if len(records) > 0 {
+		// The registry may have gone on since the revision was read.
+		revision = max(revision, records[len(records)-1].Revision)
+	}
+	return encodeMessage(KindPull, pullAnswer{
+		Revision: revision,
+		Age:      age,
+		Ready:    true,
+		TooOld:   !complete,
+		Records:  records,
+	})
+}
--- /dev/null
+++ b/internal/version/contract/validate.go
@@ -0,0 +1,261 @@
+package contract
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"time"
+
+	"lagoonbarrow"
+)
+
+// Bounds on the parts of a contract. They keep a record well below the frame
+// limit of 256 KiB and a change within one table transaction.
+const (
+	MaxKeyHashes      = 16
+	MaxClasses        = 64
+	MaxNameBytes      = 64
+	MaxCustomerBytes  = 128
+	MaxPrefixBytes    = 512
+	MaxRetryTokens    = lagoonbarrow.Tokens(100)
+	MaxDeadline       = 24 * time.Hour
+	MaxWorkUnits      = lagoonbarrow.WorkUnits(1e9)
+	keyHashCharacters = 64
+)
+
+var methods = []string{"", "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}
+
+// InvalidError lists all faults of a contract. It wraps lagoonbarrow.ErrInvalid.
+type InvalidError struct {
+	Faults []string
+}
+
+// Error names every fault.
+func (e *InvalidError) Error() string {
+	return "contract: " + lagoonbarrow.ErrInvalid.Error() + ": " + strings.Join(e.Faults, "; ")
+}
+
+// Unwrap returns lagoonbarrow.ErrInvalid.
+func (e *InvalidError) Unwrap() error {
+	return lagoonbarrow.ErrInvalid
+}
+
+// faults collects what is wrong with a contract.
+type faults []string
+
+func (f *faults) add(format string, arguments ...any) {
+	*f = append(*f, fmt.Sprintf(format, arguments...))
+}
+
+func (f faults) err() error {
+	if len(f) == 0 {
+		return nil
+	}
+	return &InvalidError{
+		Faults: f,
+	}
+}
+
+// Validate returns an *InvalidError that names all faults of the contract at
+// once, or nil.
+func Validate(contract lagoonbarrow.Contract) error {
+	var found faults
+	checkCustomer(&found, contract.Customer)
+	checkKeyHashes(&found, contract.KeyHashes)
+	checkRates(&found, contract)
+	checkClasses(&found, contract)
+	return found.err()
+}
+
+// ValidCustomer reports whether the id may name a customer. Slashes are
+// excluded because the id is a part of the keys of claim rows.
+func ValidCustomer(customer lagoonbarrow.CustomerID) bool {
+	return validName(string(customer), MaxCustomerBytes)
+}
+
+func validName(name string, limit int) bool {
+	if name == "" || len(name) > limit {
+		return false
+	}
+	for _, character := range []byte(name) {
+		if !validNameByte(character) {
+			return false
+		}
+	}
+	return name != "." && name != ".."
+}
+
+func validNameByte(character byte) bool {
+	switch {
+	case character >= 'a' && character <= 'z':
+		return true
+	case character >= 'A' && character <= 'Z':
+		return true
+	case character >= '0' && character <= '9':
+		return true
+	default:
+		return character == '-' || character == '_' || character == '.'
+	}
+}
+
+func checkCustomer(found *faults, customer lagoonbarrow.CustomerID) {
+	if ValidCustomer(customer) {
+		return
+	}
+	found.add("customer %q: must be 1 to %d letters, digits, '-', '_' or '.'", customer, MaxCustomerBytes)
+}
+
+func checkKeyHashes(found *faults, hashes []string) {
+	if len(hashes) == 0 {
+		found.add("key-hashes: none given")
+	}
+	if len(hashes) > MaxKeyHashes {
+		found.add("key-hashes: %d given, at most %d are allowed", len(hashes), MaxKeyHashes)
+		return
+	}
+	seen := map[string]bool{}
+	for _, hash := range hashes {
+		if !validKeyHash(hash) {
+			found.add("key-hashes: %q is not a lower-case hex SHA-256 sum", hash)
+		}
+		if seen[hash] {
+			found.add("key-hashes: %q is given twice", hash)
+		}
+		seen[hash] = true
+	}
+}
+
+func validKeyHash(hash string) bool {
+	if len(hash) != keyHashCharacters {
+		return false
+	}
+	for _, character := range []byte(hash) {
+		digit := character >= '0' && character <= '9'
+		letter := character >= 'a' && character <= 'f'
+		if !digit && !letter {
+			return false
+		}
+	}
+	return true
+}
+
+func checkRates(found *faults, contract lagoonbarrow.Contract) {
+	checkUnits(found, "work-units-per-second", contract.WorkUnitsPerSecond)
+	checkUnits(found, "burst-work-units", contract.BurstWorkUnits)
+}
+
+func checkUnits(found *faults, field string, units lagoonbarrow.WorkUnits) {
+	value := float64(units)
+	switch {
+	case math.IsNaN(value) || math.IsInf(value, 0):
+		found.add("%s: not a finite number", field)
+	case units < 0:
+		found.add("%s: %v is negative", field, units)
+	case units > MaxWorkUnits:
+		found.add("%s: %v is above %v", field, units, MaxWorkUnits)
+	}
+}
+
+func checkClasses(found *faults, contract lagoonbarrow.Contract) {
+	if len(contract.Classes) == 0 {
+		found.add("classes: none given")
+	}
+	if len(contract.Classes) > MaxClasses {
+		found.add("classes: %d given, at most %d are allowed", len(contract.Classes), MaxClasses)
+		return
+	}
+	seen := map[lagoonbarrow.ClassName]bool{}
+	for index := range contract.Classes {
+		class := &contract.Classes[index]
+		if seen[class.Name] {
+			found.add("class %q: the name is used twice", class.Name)
+		}
+		seen[class.Name] = true
+		checkClass(found, class, contract.BurstWorkUnits)
+		checkReachable(found, contract.Classes[:index], class)
+	}
+}
+
+func checkClass(found *faults, class *lagoonbarrow.Class, burst lagoonbarrow.WorkUnits) {
+	if !validName(string(class.Name), MaxNameBytes) {
+		found.add("class %q: the name must be 1 to %d letters, digits, '-', '_' or '.'", class.Name, MaxNameBytes)
+	}
+	if !validMethod(class.Method) {
+		found.add("class %q: unknown method %q", class.Name, class.Method)
+	}
+	if !validPrefix(class.PathPrefix) {
+		found.add("class %q: path-prefix %q must start with '/' and hold at most %d printable characters",
+			class.Name, class.PathPrefix, MaxPrefixBytes)
+	}
+	if class.Importance() == lagoonbarrow.ImportanceNone {
+		found.add("class %q: unknown importance %q", class.Name, class.ImportanceName)
+	}
+	checkClassWork(found, class, burst)
+	checkClassLimits(found, class)
+}
+
+// checkClassWork refuses classes without a cost, because they would not be
+// limited, and classes that no full bucket could ever admit.
+func checkClassWork(found *faults, class *lagoonbarrow.Class, burst lagoonbarrow.WorkUnits) {
+	checkUnits(found, fmt.Sprintf("class %q: work-units", class.Name), class.WorkUnits)
+	if class.WorkUnits == 0 {
+		found.add("class %q: work-units is 0", class.Name)
+	}
+	if class.WorkUnits > burst && burst >= 0 {
+		found.add("class %q: work-units %v is above burst-work-units %v", class.Name, class.WorkUnits, burst)
+	}
+}
+
+func checkClassLimits(found *faults, class *lagoonbarrow.Class) {
+	deadline := time.Duration(class.Deadline)
+	if deadline < 0 {
+		found.add("class %q: deadline %v is negative", class.Name, deadline)
+	}
+	if deadline > MaxDeadline {
+		found.add("class %q: deadline %v is above %v", class.Name, deadline, MaxDeadline)
+	}
+	if deadline == 0 && class.Importance() == lagoonbarrow.ImportanceCritical {
+		found.add("class %q: a critical class needs a deadline", class.Name)
+	}
+	if class.RetryTokens < 0 {
+		found.add("class %q: retry-tokens %d is negative", class.Name, class.RetryTokens)
+	}
+	if class.RetryTokens > MaxRetryTokens {
+		found.add("class %q: retry-tokens %d is above %d", class.Name, class.RetryTokens, MaxRetryTokens)
+	}
+	if class.AtMostOnce && class.Long {
+		found.add("class %q: an at-most-once class can't be long", class.Name)
+	}
+}
+
+func checkReachable(found *faults, earlier []lagoonbarrow.Class, class *lagoonbarrow.Class) {
+	for index := range earlier {
+		other := &earlier[index]
+		sameMethod := other.Method == "" || other.Method == class.Method
+		if sameMethod && strings.HasPrefix(class.PathPrefix, other.PathPrefix) {
+			found.add("class %q: never matched, class %q before it matches the same requests", class.Name, other.Name)
+			return
+		}
+	}
+}
+
+func validMethod(method string) bool {
+	for _, known := range methods {
+		if method == known {
+			return true
+		}
+	}
+	return false
+}
+
+func validPrefix(prefix string) bool {
+	if !strings.HasPrefix(prefix, "/") || len(prefix) > MaxPrefixBytes {
+		return false
+	}
+	for _, character := range []byte(prefix) {
+		if character <= ' ' || character >= 0x7f {
+			return false
+		}
+	}
+	return true
+}
