Carry calls and control messages between nodes, and calls to the backend server

The peer server and client make the handshake, pool connections with one call at a time on each and keep control messages on connections of their own. The backend client writes each request at most once and delivers whole answers only.

--- a/internal/connection/frame/reader.go
+++ b/internal/connection/frame/reader.go
@@ -66,6 +66,14 @@
 	}
 	r.source.Reset(body)
 	r.decoder.Reset(&r.source)
+	// The decoder allocates slices and byte strings by their declared length.
+	// Skipping over the body first shows that the declared lengths are backed by
+	// bytes, so that a short frame can't demand gigabytes.
+	if err := r.decoder.Skip(); err != nil {
+		return errors.Wrap(lagoonbarrow.ErrFrame, "frame: decode: "+err.Error())
+	}
+	r.source.Reset(body)
+	r.decoder.Reset(&r.source)
 	if err := r.decoder.Decode(value); err != nil {
 		return errors.Wrap(lagoonbarrow.ErrFrame, "frame: decode: "+err.Error())
 	}
@@ -98,15 +106,21 @@
 	return body, nil
 }
 
-// space returns a buffer of the given size. It drops a large buffer when a
-// small one is enough, so that idle connections hold little memory.
+// space returns a buffer of the given size.
 func (r *Reader) space(size int) []byte {
-	if size > cap(r.body) || (cap(r.body) > keepBytes && size <= keepBytes) {
+	if size > cap(r.body) {
 		r.body = make([]byte, size)
 	}
 	return r.body[:size]
 }
 
+// Release drops a large buffer. Connections call it when they become idle.
+func (r *Reader) Release() {
+	if cap(r.body) > keepBytes {
+		r.body = nil
+	}
+}
+
 // cut turns an end of the stream within a frame into ErrFrame.
 func cut(err error, action string) error {
 	if err == io.EOF {
--- a/internal/connection/frame/writer.go
+++ b/internal/connection/frame/writer.go
@@ -11,9 +11,9 @@
 	"lagoonbarrow"
 )
 
-// keepBytes is the largest buffer that is kept between uses. Larger ones are
-// released, so that one large answer doesn't pin memory on an idle connection.
-const keepBytes = 16 << 10
+// keepBytes is the largest buffer that Release keeps. Larger ones are dropped, so
+// that one large answer doesn't pin memory on an idle connection.
+const keepBytes = 4 << 10
 
 // Writer writes frames. It collects appended frames and sends them with one
 // write. A Writer is not safe for concurrent use.
@@ -32,6 +32,7 @@
 		limit: limitOf(limit),
 	}
 	w.encoder = msgpack.NewEncoder(&w.buffer)
+	w.encoder.UseCompactInts(true)
 	return w
 }
 
@@ -68,7 +69,7 @@
 		return 0, nil
 	}
 	n, err := w.out.Write(w.buffer.Bytes())
-	w.Discard()
+	w.buffer.Reset()
 	if err != nil {
 		return n, wrap(err, "write")
 	}
@@ -77,11 +78,14 @@
 
 // Discard drops the appended frames.
 func (w *Writer) Discard() {
-	if w.buffer.Cap() > keepBytes {
+	w.buffer.Reset()
+}
+
+// Release drops a large buffer. Connections call it when they become idle.
+func (w *Writer) Release() {
+	if w.buffer.Cap() > keepBytes && w.buffer.Len() == 0 {
 		w.buffer = bytes.Buffer{}
-		return
 	}
-	w.buffer.Reset()
 }
 
 // Write sends value as one frame.
--- /dev/null
+++ b/internal/connection/peer/connection.go
@@ -0,0 +1,177 @@
+package peer
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lagoonbarrow"
+	"lagoonbarrow/internal/connection/frame"
+)
+
+// handshakeFrameBytes bounds the frames of a peer that is not yet authenticated.
+const handshakeFrameBytes = 1 << 10
+
+// connection is one authenticated connection, or one in its handshake.
+type connection struct {
+	raw     net.Conn
+	stream  *countedStream
+	in      *frame.Reader
+	out     *frame.Writer
+	frames  int
+	peer    lagoonbarrow.InstanceID
+	address lagoonbarrow.Address
+	purpose purpose
+	// idleSince is when a client's connection was last released.
+	idleSince time.Time
+	// leaving is set on a client's connection whose server is going away.
+	leaving   bool
+	closeOnce sync.Once
+}
+
+// newConnection wraps a TCP connection. frames is the limit of frame bodies after
+// the handshake.
+func newConnection(raw net.Conn, frames int) *connection {
+	stream := &countedStream{
+		Conn: raw,
+	}
+	return &connection{
+		raw:    raw,
+		stream: stream,
+		in:     frame.NewReader(stream, handshakeFrameBytes),
+		out:    frame.NewWriter(stream, frames),
+		frames: frames,
+	}
+}
+
+func (c *connection) close() {
+	c.closeOnce.Do(func() {
+		_ = c.raw.Close()
+	})
+}
+
+// release drops large buffers before the connection becomes idle.
+func (c *connection) release() {
+	c.in.Release()
+	c.out.Release()
+}
+
+// read returns the next packet. It returns ErrFrame unless exactly one field is set.
+func (c *connection) read() (*packet, error) {
+	p := &packet{}
+	if err := c.in.Read(p); err != nil {
+		return nil, err
+	}
+	if p.fields() != 1 {
+		return nil, errors.Wrap(lagoonbarrow.ErrFrame, "peer: frame of unknown kind")
+	}
+	return p, nil
+}
+
+func (p *packet) fields() int {
+	set := [...]bool{
+		p.Hello != nil,
+		p.Challenge != nil,
+		p.Proof != nil,
+		p.Refusal != nil,
+		p.Call != nil,
+		p.Answer != nil,
+		p.Message != nil,
+		p.Reply != nil,
+		p.Body != nil,
+		p.End != nil,
+		p.GoingAway != nil,
+	}
+	count := 0
+	for _, isSet := range set {
+		if isSet {
+			count++
+		}
+	}
+	return count
+}
+
+// send writes a head frame, the body frames and the end frame. The error is nil
+// exactly if the kernel accepted the last byte.
+func (c *connection) send(head *packet, id string, body []byte) error {
+	if err := c.out.Append(head); err != nil {
+		return err
+	}
+	rest := body
+	if inline(body) != nil {
+		rest = nil
+	}
+	size := min(chunkBytes, c.frames-chunkOverhead)
+	for len(rest) > 0 {
+		part := rest[:min(size, len(rest))]
+		rest = rest[len(part):]
+		if err := c.sendChunk(id, part); err != nil {
+			return err
+		}
+	}
+	if err := c.out.Append(&packet{End: endOf(id, body)}); err != nil {
+		return err
+	}
+	_, err := c.out.Flush()
+	return err
+}
+
+func (c *connection) sendChunk(id string, part []byte) error {
+	data := &chunk{
+		ID:   id,
+		Data: part,
+	}
+	if err := c.out.Append(&packet{Body: data}); err != nil {
+		return err
+	}
+	if c.out.Buffered() < chunkBytes {
+		return nil
+	}
+	_, err := c.out.Flush()
+	return err
+}
+
+// receiveBody completes a body of total bytes whose inline part is given, up to
+// its end frame. It returns ErrFrame for anything unexpected. With keep false
+// the body is read and dropped.
+func (c *connection) receiveBody(id string, start []byte, total int, keep bool) ([]byte, error) {
+	if len(start) == total {
+		return start, c.receiveEnd(id, start, true)
+	}
+	if len(start) != 0 {
+		return nil, errors.Wrap(lagoonbarrow.ErrFrame, "peer: incomplete inline body")
+	}
+	var body []byte
+	received := 0
+	for received < total {
+		p, err := c.read()
+		if err != nil {
+			return nil, err
+		}
+		if p.Body == nil || p.Body.ID != id || len(p.Body.Data) == 0 || received+len(p.Body.Data) > total {
+			return nil, errors.Wrap(lagoonbarrow.ErrFrame, "peer: unexpected frame within a body")
+		}
+		received += len(p.Body.Data)
+		if keep {
+			// The buffer grows with what has arrived, not with what was announced.
+			body = append(body, p.Body.Data...)
+		}
+	}
+	return body, c.receiveEnd(id, body, keep)
+}
+
+func (c *connection) receiveEnd(id string, body []byte, check bool) error {
+	p, err := c.read()
+	if err != nil {
+		return err
+	}
+	if p.End == nil {
+		return errors.Wrap(lagoonbarrow.ErrFrame, "peer: end frame is missing")
+	}
+	if !check {
+		return nil
+	}
+	return p.End.matches(id, body)
+}
--- /dev/null
+++ b/internal/connection/peer/exchange.go
@@ -0,0 +1,143 @@
+package peer
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lagoonbarrow"
+)
+
+// errRefused: the server refused the connection and read no call from it.
+var errRefused = errors.New("peer: connection refused after the handshake")
+
+// exchange sends one head with its body and reads the answer with receive.
+// Cancelling ctx closes the connection at once. After an error the connection
+// can't be used any more.
+func (c *connection) exchange(ctx context.Context, head *packet, id string, body []byte, receive func() error) error {
+	if err := ctx.Err(); err != nil {
+		return notSent(ctx, err)
+	}
+	stop := context.AfterFunc(ctx, c.close)
+	defer func() {
+		if !stop() {
+			// The close may still be under way, so the connection can't be kept.
+			c.close()
+			c.leaving = true
+		}
+	}()
+	if err := c.send(head, id, body); err != nil {
+		return notSent(ctx, err)
+	}
+	err := receive()
+	if errors.Is(err, errRefused) {
+		return notSent(ctx, err)
+	}
+	if err != nil {
+		return answerLost(ctx, err)
+	}
+	if c.in.Buffered() != 0 {
+		// The answer is whole. What follows it is going-away or out of order.
+		c.leaving = true
+	}
+	return nil
+}
+
+// readHead returns the first frame of an answer. A refusal may come instead,
+// since the client sends its first call together with its proof.
+func (c *connection) readHead() (*packet, error) {
+	p, err := c.read()
+	if err != nil {
+		return nil, err
+	}
+	if p.GoingAway != nil {
+		c.leaving = true
+		p, err = c.read()
+		if err != nil {
+			return nil, err
+		}
+	}
+	if p.Refusal != nil {
+		return nil, errors.Wrap(errRefused, p.Refusal.err().Error())
+	}
+	return p, nil
+}
+
+// call sends a call and reads its answer.
+func (c *connection) call(ctx context.Context, call *lagoonbarrow.Call, maxBody int) (*lagoonbarrow.Answer, error) {
+	head := &callHead{
+		Call:      *call,
+		BodyBytes: len(call.Body),
+	}
+	head.Body = inline(call.Body)
+	if deadline, has := ctx.Deadline(); has {
+		// Waiting for the connection has used up some of the time.
+		head.Remaining = time.Until(deadline)
+	}
+	var result *lagoonbarrow.Answer
+	receive := func() error {
+		var err error
+		result, err = c.receiveAnswer(call.ID, maxBody)
+		return err
+	}
+	err := c.exchange(ctx, &packet{Call: head}, string(call.ID), call.Body, receive)
+	if err != nil {
+		return nil, err
+	}
+	return result, nil
+}
+
+// receiveAnswer reads the answer to a call. It returns ErrFrame for any other frame,
+// such as a part of another call's answer.
+func (c *connection) receiveAnswer(id lagoonbarrow.CallID, maxBody int) (*lagoonbarrow.Answer, error) {
+	p, err := c.readHead()
+	if err != nil {
+		return nil, err
+	}
+	if p.Answer == nil || p.Answer.Call != id {
+		return nil, errors.Wrap(lagoonbarrow.ErrFrame, "peer: unexpected frame instead of the answer")
+	}
+	body, err := c.receiveLimited(string(id), p.Answer.Body, p.Answer.BodyBytes, maxBody)
+	if err != nil {
+		return nil, err
+	}
+	result := p.Answer.Answer
+	result.Body = body
+	return &result, nil
+}
+
+func (c *connection) receiveLimited(id string, start []byte, total, limit int) ([]byte, error) {
+	if total < 0 || total > limit {
+		return nil, errors.Wrap(lagoonbarrow.ErrTooLarge, "peer: answer body")
+	}
+	return c.receiveBody(id, start, total, true)
+}
+
+// message sends a control message and reads its reply.
+func (c *connection) message(ctx context.Context, id string, sent lagoonbarrow.Message, maxBody int) (*reply, error) {
+	head := &message{
+		ID:        id,
+		Kind:      sent.Kind,
+		Body:      inline(sent.Body),
+		BodyBytes: len(sent.Body),
+	}
+	var result *reply
+	receive := func() error {
+		p, err := c.readHead()
+		if err != nil {
+			return err
+		}
+		if p.Reply == nil || p.Reply.ID != id {
+			return errors.Wrap(lagoonbarrow.ErrFrame, "peer: unexpected frame instead of the reply")
+		}
+		result = p.Reply
+		result.Body, err = c.receiveLimited(id, result.Body, result.BodyBytes, maxBody)
+		return err
+	}
+	err := c.exchange(ctx, &packet{Message: head}, id, sent.Body, receive)
+	if err != nil {
+		return nil, err
+	}
+	return result, nil
+}
--- /dev/null
+++ b/internal/request/backend/alive.go
@@ -0,0 +1,32 @@
+//go:build unix
+
+package backend
+
+import (
+	"net"
+	"syscall"
+)
+
+// quiet reports whether an idle connection is open and has no bytes to read.
+// It looks at the socket without blocking and without taking bytes from it.
+func quiet(raw net.Conn) bool {
+	socket, ok := raw.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	control, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var n int
+	var peekErr error
+	err = control.Read(func(descriptor uintptr) bool {
+		var one [1]byte
+		n, _, peekErr = syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return true
+	})
+	if err != nil || n > 0 {
+		return false
+	}
+	return peekErr == syscall.EAGAIN || peekErr == syscall.EWOULDBLOCK || peekErr == syscall.EINTR
+}
--- /dev/null
+++ b/internal/request/backend/connection.go
@@ -0,0 +1,112 @@
+package backend
+
+import (
+	"bufio"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"lagoonbarrow"
+)
+
+const (
+	statusOK                 = fasthttp.StatusOK
+	statusServiceUnavailable = fasthttp.StatusServiceUnavailable
+
+	// readBufferBytes bounds the headers of an answer, which fasthttp parses
+	// within the buffer.
+	readBufferBytes  = 16 << 10
+	writeBufferBytes = 4 << 10
+
+	// bodyWithoutLength is fasthttp's content length of a body that ends with the
+	// connection.
+	bodyWithoutLength = -2
+)
+
+// errNoLength: the end of the body can't be told from a cut connection.
+var errNoLength = errors.Wrap(lagoonbarrow.ErrAnswerLost, "backend: answer without a length")
+
+// connection is one HTTP/1.1 connection to the backend server.
+type connection struct {
+	raw       net.Conn
+	in        *bufio.Reader
+	out       *bufio.Writer
+	written   *writeCounter
+	idleSince time.Time
+	closeOnce sync.Once
+}
+
+func newConnection(raw net.Conn) *connection {
+	counter := &writeCounter{
+		Conn: raw,
+	}
+	return &connection{
+		raw:     raw,
+		in:      bufio.NewReaderSize(raw, readBufferBytes),
+		out:     bufio.NewWriterSize(counter, writeBufferBytes),
+		written: counter,
+	}
+}
+
+func (c *connection) close() {
+	c.closeOnce.Do(func() {
+		_ = c.raw.Close()
+	})
+}
+
+// write sends a request. sent tells whether any byte of it may have reached the
+// backend server, which may start on a request before it has the whole body.
+func (c *connection) write(request *fasthttp.Request) (sent bool, err error) {
+	c.written.bytes = 0
+	err = request.Write(c.out)
+	if err == nil {
+		err = c.out.Flush()
+	}
+	return c.written.bytes > 0, err
+}
+
+// read receives a whole answer. It returns an error for a body that is shorter
+// than announced, longer than the limit, or of unknown length.
+func (c *connection) read(response *fasthttp.Response, skipBody bool, limit int) error {
+	response.SkipBody = skipBody
+	if err := response.ReadLimitBody(c.in, limit); err != nil {
+		return err
+	}
+	if !skipBody && response.Header.ContentLength() == bodyWithoutLength {
+		return errNoLength
+	}
+	return nil
+}
+
+// probe asks for the health path and returns the status.
+func (c *connection) probe(config Config) (int, error) {
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	response := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI(config.HealthPath)
+	request.Header.SetHost(string(config.Address))
+	request.SetConnectionClose()
+	if _, err := c.write(request); err != nil {
+		return 0, err
+	}
+	if err := response.ReadLimitBody(c.in, config.MaxBodyBytes); err != nil {
+		return 0, err
+	}
+	return response.StatusCode(), nil
+}
+
+// writeCounter counts the bytes that the kernel accepted.
+type writeCounter struct {
+	net.Conn
+	bytes int
+}
+
+func (w *writeCounter) Write(data []byte) (int, error) {
+	n, err := w.Conn.Write(data)
+	w.bytes += n
+	return n, err
+}
--- /dev/null
+++ b/internal/request/backend/pool.go
@@ -0,0 +1,161 @@
+package backend
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lagoonbarrow"
+)
+
+// freshTime is how long a connection may have been idle to be used for a method
+// that is not safe. The backend server may close an idle connection at the moment
+// a request is written to it; then nobody knows whether a write was run. A new
+// connection costs about 1 ms (design 1.1) and avoids that.
+const freshTime = time.Second
+
+// pool holds the connections to the backend server.
+type pool struct {
+	config Config
+	dialer net.Dialer
+	// slots holds a token for each call with a connection.
+	slots chan struct{}
+
+	mutex  sync.Mutex
+	closed bool
+	idle   []*connection
+	busy   map[*connection]struct{}
+}
+
+func newPool(config Config) *pool {
+	return &pool{
+		config: config,
+		dialer: net.Dialer{
+			Timeout: config.DialTimeout,
+		},
+		slots: make(chan struct{}, config.Connections),
+		busy:  map[*connection]struct{}{},
+	}
+}
+
+// acquire waits for a connection. All errors mean that nothing was sent.
+func (p *pool) acquire(ctx context.Context, safe bool) (*connection, error) {
+	select {
+	case p.slots <- struct{}{}:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	c, err := p.connect(ctx, safe)
+	if err != nil {
+		<-p.slots
+		return nil, err
+	}
+	return c, nil
+}
+
+func (p *pool) connect(ctx context.Context, safe bool) (*connection, error) {
+	oldest := time.Now().Add(-p.config.IdleTimeout)
+	if !safe {
+		oldest = time.Now().Add(-freshTime)
+	}
+	for {
+		c, err := p.pop()
+		if err != nil {
+			return nil, err
+		}
+		if c == nil {
+			break
+		}
+		if c.idleSince.After(oldest) && quiet(c.raw) {
+			return c, nil
+		}
+		p.forget(c)
+	}
+	raw, err := p.dialer.DialContext(ctx, "tcp", string(p.config.Address))
+	if err != nil {
+		return nil, errors.Wrap(err, "backend: dial")
+	}
+	p.config.Scope.Counter("backend-connections-opened").Inc(1)
+	c := newConnection(raw)
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.closed {
+		c.close()
+		return nil, errClosed
+	}
+	p.busy[c] = struct{}{}
+	return c, nil
+}
+
+var errClosed = errors.Wrap(lagoonbarrow.ErrStopping, "backend: client is closed")
+
+// pop takes the idle connection that was used last.
+func (p *pool) pop() (*connection, error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.closed {
+		return nil, errClosed
+	}
+	last := len(p.idle) - 1
+	if last < 0 {
+		return nil, nil
+	}
+	c := p.idle[last]
+	p.idle[last] = nil
+	p.idle = p.idle[:last]
+	p.busy[c] = struct{}{}
+	return c, nil
+}
+
+// forget closes a connection that was popped.
+func (p *pool) forget(c *connection) {
+	c.close()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	delete(p.busy, c)
+}
+
+// release gives a connection back. Only one whose last exchange was complete is
+// used again.
+func (p *pool) release(c *connection, reusable bool) {
+	defer func() { <-p.slots }()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	delete(p.busy, c)
+	if !reusable || p.closed {
+		c.close()
+		return
+	}
+	c.idleSince = time.Now()
+	p.idle = append(p.idle, c)
+	p.trim()
+}
+
+// trim closes the connections that were idle for too long. The idle list is
+// ordered by idleSince. The caller holds the mutex.
+func (p *pool) trim() {
+	oldest := time.Now().Add(-p.config.IdleTimeout)
+	old := 0
+	for old < len(p.idle) && p.idle[old].idleSince.Before(oldest) {
+		p.idle[old].close()
+		p.idle[old] = nil
+		old++
+	}
+	p.idle = p.idle[old:]
+}
+
+func (p *pool) close() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.closed = true
+	for _, c := range p.idle {
+		c.close()
+	}
+	p.idle = nil
+	for c := range p.busy {
+		c.close()
+	}
+}
