Serve and call the platform's table and object store

The stand-in keeps rows and objects in memory and shows faults on request: down, slow, lost answers, delayed writes. The client groups Puts into batches of up to 64 writes, opens a circuit breaker after five failures in a row, and tells ErrUnavailable (nothing was done) from ErrOutcomeUnknown.

--- a/internal/process/platform/client.go
+++ b/internal/process/platform/client.go
@@ -2,53 +2,339 @@
 
 import (
 	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
 
 	"lagoonbarrow"
+	"lagoonbarrow/pkg/event"
 )
 
 var _ lagoonbarrow.Table = (*Client)(nil)
 
 // Client is a client of the platform. It implements lagoonbarrow.Table.
-type Client struct{}
+type Client struct {
+	config  Config
+	http    *fasthttp.HostClient
+	gate    *gate
+	metrics *metrics
+	batcher *batcher
+	// ctx ends when the client stops.
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mutex   sync.Mutex
+	stopped bool
+	// running counts the goroutines of the client.
+	running sync.WaitGroup
+}
+
+// New returns a client. Calls work at once; Start begins the probes that find
+// out when a platform that was down is back.
+func New(config Config) *Client {
+	config = config.withDefaults()
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &Client{
+		config:  config,
+		http:    newHostClient(config),
+		metrics: newMetrics(config.Scope),
+		ctx:     ctx,
+		cancel:  cancel,
+	}
+	c.gate = newGate(config, c.noteChange)
+	c.batcher = newBatcher(c)
+	return c
+}
+
+// Start checks the address and begins the probes.
+func (c *Client) Start() error {
+	if _, _, err := net.SplitHostPort(string(c.config.Address)); err != nil {
+		return errors.Wrap(err, "platform: address")
+	}
+	if !c.launch(c.probeWhileDown) {
+		return errors.Wrap(lagoonbarrow.ErrStopping, "platform: start")
+	}
+	return nil
+}
+
+// Stop ends the client. Writes that wait for a batch are not sent and end with
+// ErrUnavailable. It waits for requests under way, at most Config.Timeout.
+func (c *Client) Stop() error {
+	c.mutex.Lock()
+	c.stopped = true
+	c.mutex.Unlock()
+	c.cancel()
+	c.gate.stop()
+	c.running.Wait()
+	c.http.CloseIdleConnections()
+	return nil
+}
+
+// launch runs a function on its own goroutine, unless the client has stopped.
+func (c *Client) launch(function func()) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.stopped {
+		return false
+	}
+	c.running.Go(function)
+	return true
+}
+
+// Available reports whether the circuit breaker is closed: fewer than
+// Config.FailureLimit requests in a row have failed, or the last probe succeeded.
+func (c *Client) Available() bool {
+	return c.gate.available()
+}
+
+// noteChange records that the breaker opened or closed.
+func (c *Client) noteChange(up bool) {
+	kind := event.PlatformDown
+	if up {
+		kind = event.PlatformUp
+	} else {
+		c.http.CloseIdleConnections()
+	}
+	c.metrics.up(up)
+	c.config.Logger.Info(kind.Meaning, "address", c.config.Address)
+	if c.config.Recorder == nil {
+		return
+	}
+	c.config.Recorder.Record(kind, event.Fields{
+		Peer: string(c.config.Address),
+	})
+}
 
-// New returns a client.
-func New(_ Config) *Client { return &Client{} }
+// probeWhileDown makes one read about every ProbeInterval while the breaker is open.
+func (c *Client) probeWhileDown() {
+	for {
+		select {
+		case <-c.gate.opened:
+		case <-c.ctx.Done():
+			return
+		}
+		c.probeUntilUp()
+	}
+}
+
+func (c *Client) probeUntilUp() {
+	for !c.gate.available() {
+		timer := time.NewTimer(c.probeDelay())
+		select {
+		case <-timer.C:
+		case <-c.ctx.Done():
+			timer.Stop()
+			return
+		}
+		if c.probe() {
+			c.gate.recover()
+		}
+	}
+}
+
+// probeDelay spreads the probes of many nodes over time.
+func (c *Client) probeDelay() time.Duration {
+	return time.Duration((0.75 + 0.5*rand.Float64()) * float64(c.config.ProbeInterval))
+}
 
-// Start begins to serve calls.
-func (c *Client) Start() error { return nil }
+func (c *Client) probe() bool {
+	c.metrics.probes.Inc(1)
+	_, result, _ := c.exchange(request{
+		method: fasthttp.MethodGet,
+		path:   rowPath("probe", "probe"),
+	})
+	return result != failed
+}
 
-// Stop ends the client.
-func (c *Client) Stop() error { return nil }
+func rowPath(table, key string) string {
+	return "/v1/tables/" + url.PathEscape(table) + "/rows/" + url.PathEscape(key)
+}
 
-// Available implements lagoonbarrow.Table.
-func (c *Client) Available() bool { return false }
+// call makes one request and decodes its answer. The request always has the
+// whole Config.Timeout, so that an impatient caller does not count as a failure
+// of the platform; the caller itself returns when ctx ends.
+func (c *Client) call(ctx context.Context, request request, decode func(reply) error) error {
+	taken, err := c.gate.acquire(ctx)
+	if err != nil {
+		return err
+	}
+	done := make(chan error, 1)
+	launched := c.launch(func() {
+		done <- c.serve(taken, request, decode)
+	})
+	if !launched {
+		c.gate.release(taken, unused)
+		return errors.Wrap(lagoonbarrow.ErrUnavailable, "platform: client is stopped")
+	}
+	select {
+	case err = <-done:
+		return err
+	case <-ctx.Done():
+		return errors.Wrapf(lagoonbarrow.ErrOutcomeUnknown, "platform: no answer: %v", ctx.Err())
+	}
+}
+
+// serve makes a request with a ticket and returns the ticket.
+func (c *Client) serve(taken ticket, request request, decode func(reply) error) error {
+	got, result, err := c.exchange(request)
+	if err == nil {
+		err = decode(got)
+		if errors.Is(err, lagoonbarrow.ErrInvalid) {
+			// The platform's answer is damaged; the request may have been served.
+			result = failed
+			err = errors.Wrapf(lagoonbarrow.ErrOutcomeUnknown, "platform: %v", err)
+		}
+	}
+	if result == failed {
+		c.metrics.failures.Inc(1)
+	}
+	c.gate.release(taken, result)
+	return err
+}
+
+// read makes a request without effects: an unknown outcome is unavailability.
+func (c *Client) read(ctx context.Context, request request, decode func(reply) error) error {
+	began := time.Now()
+	err := c.call(ctx, request, decode)
+	c.metrics.read(began)
+	if errors.Is(err, lagoonbarrow.ErrOutcomeUnknown) {
+		return errors.Wrapf(lagoonbarrow.ErrUnavailable, "%v", err)
+	}
+	return err
+}
 
 // Get implements lagoonbarrow.Table.
-func (c *Client) Get(_ context.Context, _, _ string) (lagoonbarrow.Row, error) {
-	return lagoonbarrow.Row{}, lagoonbarrow.ErrUnavailable
+func (c *Client) Get(ctx context.Context, table, key string) (lagoonbarrow.Row, error) {
+	if err := checkName(table, key); err != nil {
+		return lagoonbarrow.Row{}, err
+	}
+	// The row is passed over a channel: after ctx has ended, the decoder still
+	// runs and must not share memory with the caller.
+	rows := make(chan lagoonbarrow.Row, 1)
+	err := c.read(ctx, request{
+		method: fasthttp.MethodGet,
+		path:   rowPath(table, key),
+	}, func(got reply) error {
+		if got.status == fasthttp.StatusNotFound {
+			return errors.Wrapf(lagoonbarrow.ErrNotFound, "platform: row %s/%s", table, key)
+		}
+		row, err := decodeRow(got, table, key)
+		rows <- row
+		return err
+	})
+	if err != nil {
+		return lagoonbarrow.Row{}, err
+	}
+	return <-rows, nil
 }
 
-// Scan implements lagoonbarrow.Table.
-func (c *Client) Scan(_ context.Context, _, _ string, _ int) ([]lagoonbarrow.Row, error) {
-	return nil, lagoonbarrow.ErrUnavailable
+// scanPage is the highest number of rows that the platform returns at once.
+const scanPage = 1000
+
+// Scan implements lagoonbarrow.Table. It reads as many pages as limit needs;
+// they are not a snapshot of one moment.
+func (c *Client) Scan(ctx context.Context, table, after string, limit int) ([]lagoonbarrow.Row, error) {
+	if table == "" || limit <= 0 {
+		return nil, errors.Wrap(lagoonbarrow.ErrInvalid, "platform: scan without table or limit")
+	}
+	var all []lagoonbarrow.Row
+	for len(all) < limit {
+		size := min(limit-len(all), scanPage)
+		page, err := c.scanPage(ctx, table, after, size)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, page...)
+		if len(page) < size {
+			return all, nil
+		}
+		after = page[len(page)-1].Key
+	}
+	return all, nil
 }
 
-// Put implements lagoonbarrow.Table.
-func (c *Client) Put(_ context.Context, _ lagoonbarrow.Write) (lagoonbarrow.RowVersion, error) {
-	return 0, lagoonbarrow.ErrUnavailable
+func (c *Client) scanPage(ctx context.Context, table, after string, limit int) ([]lagoonbarrow.Row, error) {
+	query := "?after=" + url.QueryEscape(after) + "&limit=" + strconv.Itoa(limit)
+	found := make(chan []lagoonbarrow.Row, 1)
+	err := c.read(ctx, request{
+		method: fasthttp.MethodGet,
+		path:   "/v1/tables/" + url.PathEscape(table) + "/rows" + query,
+	}, func(got reply) error {
+		rows, err := decodeScan(got, table, after, limit)
+		found <- rows
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	return <-found, nil
 }
 
-// Transact implements lagoonbarrow.Table.
-func (c *Client) Transact(_ context.Context, _ []lagoonbarrow.Write) error {
-	return lagoonbarrow.ErrUnavailable
+// Put implements lagoonbarrow.Table. With ErrConflict it returns the row's
+// present version.
+func (c *Client) Put(ctx context.Context, write lagoonbarrow.Write) (lagoonbarrow.RowVersion, error) {
+	if err := checkWrite(write); err != nil {
+		return 0, err
+	}
+	return c.batcher.put(ctx, write)
 }
 
-// GetObject returns an object and its ETag.
-func (c *Client) GetObject(_ context.Context, _ string) ([]byte, string, error) {
-	return nil, "", lagoonbarrow.ErrUnavailable
+// Transact implements lagoonbarrow.Table.
+func (c *Client) Transact(ctx context.Context, writes []lagoonbarrow.Write) error {
+	for _, write := range writes {
+		if err := checkWrite(write); err != nil {
+			return err
+		}
+	}
+	body, err := json.Marshal(batchRequest{
+		Atomic: true,
+		Writes: writes,
+	})
+	if err != nil {
+		return errors.Wrap(err, "platform: encode writes")
+	}
+	began := time.Now()
+	err = c.call(ctx, request{
+		method: fasthttp.MethodPost,
+		path:   "/v1/batch",
+		body:   body,
+	}, func(got reply) error {
+		return decodeTransaction(got, writes)
+	})
+	c.metrics.write(began, len(writes))
+	return err
 }
 
-// PutObject writes an object.
-func (c *Client) PutObject(_ context.Context, _ string, _ []byte, _ string) (string, error) {
-	return "", lagoonbarrow.ErrUnavailable
+// decodeTransaction returns nil when all writes took effect and ErrConflict
+// when none did.
+func decodeTransaction(got reply, writes []lagoonbarrow.Write) error {
+	results, err := decodeBatch(got.body, writes)
+	if err != nil {
+		return err
+	}
+	written := 0
+	conflicts := 0
+	for _, result := range results {
+		switch result.Outcome {
+		case outcomeWritten:
+			written++
+		case outcomeConflict:
+			conflicts++
+		}
+	}
+	switch {
+	case got.status == fasthttp.StatusOK && written == len(writes):
+		return nil
+	case got.status == fasthttp.StatusConflict && written == 0 && conflicts > 0:
+		return errors.Wrapf(lagoonbarrow.ErrConflict, "platform: %d of %d rows have another version", conflicts, len(writes))
+	default:
+		return errors.Wrap(lagoonbarrow.ErrInvalid, "platform: transaction results contradict the status")
+	}
 }
--- /dev/null
+++ b/internal/process/platform/wire.go
@@ -0,0 +1,142 @@
+package platform
+
+import (
+	"encoding/json"
+	"unicode/utf8"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"lagoonbarrow"
+)
+
+// The outcomes of one write in a batch answer.
+const (
+	outcomeWritten    = "written"
+	outcomeConflict   = "conflict"
+	outcomeNotWritten = "not-written"
+)
+
+// batchRequest is the body of POST /v1/batch.
+type batchRequest struct {
+	Atomic bool                 `json:"atomic"`
+	Writes []lagoonbarrow.Write `json:"writes"`
+}
+
+// writeResult is what became of one write.
+type writeResult struct {
+	Outcome string                  `json:"outcome"`
+	Version lagoonbarrow.RowVersion `json:"version"`
+}
+
+type batchAnswer struct {
+	Results []writeResult `json:"results"`
+}
+
+type scanAnswer struct {
+	Rows []lagoonbarrow.Row `json:"rows"`
+}
+
+const (
+	// maxNameBytes bounds table names and row keys.
+	maxNameBytes = 2048
+	// maxValueBytes bounds a row's value, so that a batch with it stays below
+	// the platform's limit of 16 MiB in base64.
+	maxValueBytes = 8 << 20
+)
+
+// checkName refuses names that the platform would refuse, or that JSON would
+// change because they are not UTF-8.
+func checkName(table, key string) error {
+	for _, name := range []string{table, key} {
+		if name == "" || len(name) > maxNameBytes || !utf8.ValidString(name) {
+			return errors.Wrap(lagoonbarrow.ErrInvalid, "platform: table or key is empty, too long or not UTF-8")
+		}
+	}
+	return nil
+}
+
+// checkWrite refuses a write that would make the platform refuse its whole batch.
+func checkWrite(write lagoonbarrow.Write) error {
+	if len(write.Value) > maxValueBytes {
+		return errors.Wrapf(lagoonbarrow.ErrTooLarge, "platform: value of %d bytes", len(write.Value))
+	}
+	return checkName(write.Table, write.Key)
+}
+
+// decodeBatch reads the answer to a batch of the given writes. An answer that
+// does not fit the writes is ErrInvalid: their outcome is unknown.
+func decodeBatch(body []byte, writes []lagoonbarrow.Write) ([]writeResult, error) {
+	var answer batchAnswer
+	if err := json.Unmarshal(body, &answer); err != nil {
+		return nil, errors.Wrapf(lagoonbarrow.ErrInvalid, "platform: decode batch answer: %v", err)
+	}
+	if len(answer.Results) != len(writes) {
+		return nil, errors.Wrapf(lagoonbarrow.ErrInvalid, "platform: %d results for %d writes", len(answer.Results), len(writes))
+	}
+	for i, result := range answer.Results {
+		if !fits(result, writes[i]) {
+			return nil, errors.Wrapf(lagoonbarrow.ErrInvalid, "platform: result %q at version %d does not fit its write", result.Outcome, result.Version)
+		}
+	}
+	return answer.Results, nil
+}
+
+// fits reports whether a result is possible for a write.
+func fits(result writeResult, write lagoonbarrow.Write) bool {
+	switch result.Outcome {
+	case outcomeWritten:
+		return result.Version == versionAfter(write)
+	case outcomeConflict:
+		return result.Version != write.Expected
+	case outcomeNotWritten:
+		return true
+	default:
+		return false
+	}
+}
+
+// versionAfter is the row's version when the write took effect.
+func versionAfter(write lagoonbarrow.Write) lagoonbarrow.RowVersion {
+	if write.Delete {
+		return 0
+	}
+	return write.Expected + 1
+}
+
+// decodeRow reads the answer to a read of one row.
+func decodeRow(got reply, table, key string) (lagoonbarrow.Row, error) {
+	if got.status != fasthttp.StatusOK {
+		return lagoonbarrow.Row{}, errors.Wrapf(lagoonbarrow.ErrInvalid, "platform: status %d for a row", got.status)
+	}
+	var row lagoonbarrow.Row
+	if err := json.Unmarshal(got.body, &row); err != nil {
+		return lagoonbarrow.Row{}, errors.Wrapf(lagoonbarrow.ErrInvalid, "platform: decode row: %v", err)
+	}
+	if row.Table != table || row.Key != key || row.Version == 0 {
+		return lagoonbarrow.Row{}, errors.Wrap(lagoonbarrow.ErrInvalid, "platform: answer is for another row")
+	}
+	return row, nil
+}
+
+// decodeScan reads the answer to a scan. Rows out of order or beyond the limit
+// are ErrInvalid, because paging over them could skip rows.
+func decodeScan(got reply, table, after string, limit int) ([]lagoonbarrow.Row, error) {
+	if got.status != fasthttp.StatusOK {
+		return nil, errors.Wrapf(lagoonbarrow.ErrInvalid, "platform: status %d for a scan", got.status)
+	}
+	var answer scanAnswer
+	if err := json.Unmarshal(got.body, &answer); err != nil {
+		return nil, errors.Wrapf(lagoonbarrow.ErrInvalid, "platform: decode scan: %v", err)
+	}
+	if len(answer.Rows) > limit {
+		return nil, errors.Wrap(lagoonbarrow.ErrInvalid, "platform: more rows than asked for")
+	}
+	for _, row := range answer.Rows {
+		if row.Table != table || row.Key <= after || row.Version == 0 {
+			return nil, errors.Wrap(lagoonbarrow.ErrInvalid, "platform: scanned rows are out of order")
+		}
+		after = row.Key
+	}
+	return answer.Rows, nil
+}
--- a/internal/standin/platform/config.go
+++ b/internal/standin/platform/config.go
@@ -39,9 +39,11 @@
 	Down string `json:"down,omitempty"`
 	// Slow is added to every request before it is served.
 	Slow lagoonbarrow.Duration `json:"slow,omitempty"`
-	// LoseAnswers is the probability that a request takes effect and its
+	// LoseAnswers is the probability that a write request takes effect and its
 	// connection is closed without an answer.
 	LoseAnswers float64 `json:"lose-answers,omitempty"`
+	// LoseReads is the same for read requests.
+	LoseReads float64 `json:"lose-reads,omitempty"`
 	// DelayWrites is the time after which a write takes effect, even when its
 	// client has closed the connection.
 	DelayWrites lagoonbarrow.Duration `json:"delay-writes,omitempty"`
