Add working admission gate and router

Cause: the node's wiring needs working versions to run against. Change: the gate has lanes, priority queues, threshold, adaptive limit, reserve and preemption; the router has power of two choices, rendezvous owners, penalties and trials of stragglers.

--- /dev/null
+++ b/internal/process/admission/control.go
@@ -0,0 +1,222 @@
+package admission
+
+import (
+	"time"
+
+	"lagoonbarrow"
+)
+
+// step makes one control step and, at the end of a window, moves the threshold
+// and the limit.
+func (g *Gate) step() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.config.Clock.Now()
+	g.expireQueued(now)
+	if g.config.Plain {
+		g.dispatch(now)
+		return
+	}
+	g.preemptForCritical(now)
+	g.sample(&g.short, now)
+	g.sample(&g.long, now)
+	if now.Sub(g.windowStart) >= g.config.Window {
+		g.closeWindow(now)
+	}
+	g.dispatch(now)
+}
+
+func (g *Gate) sample(l *lane, now time.Time) {
+	if l.queue.length > 0 {
+		l.control.sample(now.Sub(l.queue.oldest()), false)
+		return
+	}
+	idle := g.running < g.limiter.limit && l.running < g.laneLimit(l)
+	l.control.sample(0, idle)
+}
+
+// expireQueued drops the queued calls that can't meet their deadline any more.
+func (g *Gate) expireQueued(now time.Time) {
+	for _, l := range []*lane{&g.short, &g.long} {
+		l.queue.each(func(w *waiter) {
+			if g.overdueQueued(w, now) {
+				l.queue.remove(w)
+				g.expire(w)
+			}
+		})
+	}
+}
+
+func (g *Gate) closeWindow(now time.Time) {
+	elapsed := now.Sub(g.windowStart)
+	g.windowStart = now
+	g.median.close()
+	g.limiter.close(now, &g.operations, g.running)
+	lower := g.running - g.runningBy[lagoonbarrow.ImportanceCritical]
+	lower += g.short.queue.lower() + g.long.queue.lower()
+	for _, l := range []*lane{&g.short, &g.long} {
+		before := l.control.threshold
+		l.control.close(windowEnd{
+			scale:     float64(g.config.Window) / float64(elapsed),
+			window:    g.config.Window,
+			target:    g.config.TargetQueueDelay,
+			queue:     &l.queue,
+			lowerBusy: lower > 0,
+		})
+		g.shedBelow(l)
+		g.recordThreshold(l, before)
+	}
+	g.recordLimit()
+	g.publish()
+}
+
+// shedBelow refuses the queued calls below the lane's threshold. They were not
+// run, and their callers hear of it before their deadline.
+func (g *Gate) shedBelow(l *lane) {
+	for {
+		last := l.queue.tail()
+		if last == nil || l.control.threshold.Admits(last.rank) {
+			return
+		}
+		l.queue.remove(last)
+		g.shed(last, "threshold rose")
+	}
+}
+
+// preemptForCritical cancels running calls for the critical calls that have
+// waited or would wait longer than the target delay: the newest deferrable call first, and the
+// newest normal call for critical calls that have waited that long already.
+func (g *Gate) preemptForCritical(now time.Time) {
+	if g.config.Plain {
+		return
+	}
+	pending := g.preempting
+	g.preemptForLane(&g.long, now, &pending)
+	g.preemptForLane(&g.short, now, &pending)
+}
+
+func (g *Gate) preemptForLane(l *lane, now time.Time, pending *int) {
+	waiting := l.queue.byLevel[lagoonbarrow.ImportanceCritical]
+	if waiting == 0 {
+		return
+	}
+	position := 0
+	l.queue.each(func(w *waiter) {
+		if !w.critical() {
+			return
+		}
+		position++
+		waited := now.Sub(w.since)
+		ahead := time.Duration(position) * l.nextFree()
+		if waited+ahead <= g.config.TargetQueueDelay {
+			return
+		}
+		if *pending > 0 {
+			*pending--
+			return
+		}
+		highest := lagoonbarrow.ImportanceDeferrable
+		if waited > g.config.TargetQueueDelay {
+			highest = lagoonbarrow.ImportanceNormal
+		}
+		g.preempt(g.victim(l, highest))
+	})
+}
+
+// victim chooses the running call whose slot a critical call of the lane could
+// take: one of the lane itself if the lane is full, otherwise one of either lane.
+func (g *Gate) victim(l *lane, highest lagoonbarrow.Importance) *permit {
+	own := l.newestBelow(highest)
+	if l.running >= g.laneLimit(l) && l.long {
+		return own
+	}
+	other := &g.short
+	if !l.long {
+		other = &g.long
+	}
+	foreign := other.newestBelow(highest)
+	if own == nil {
+		return foreign
+	}
+	if foreign == nil {
+		return own
+	}
+	ownLevel := own.work.Priority.Importance()
+	foreignLevel := foreign.work.Priority.Importance()
+	if foreignLevel < ownLevel || (foreignLevel == ownLevel && foreign.sequence > own.sequence) {
+		return foreign
+	}
+	return own
+}
+
+// preempt cancels a running call, which keeps its slot until it is released.
+func (g *Gate) preempt(p *permit) {
+	if p == nil {
+		return
+	}
+	level := p.work.Priority.Importance()
+	p.lane.runningBy[level].remove(p)
+	p.preempted = true
+	g.preempting++
+	g.counts.preempted[level]++
+	g.metrics.preempted[level].Inc(1)
+	g.recordPreempted(p)
+	p.cancel(lagoonbarrow.ErrPreempted)
+}
+
+// shed refuses a call, which is taken out of its queue if it is queued.
+func (g *Gate) shed(w *waiter, reason string) {
+	if w.queued {
+		w.lane.queue.remove(w)
+	}
+	g.counts.shed[w.level()]++
+	g.metrics.shed[w.level()].Inc(1)
+	g.recordShed(w, reason)
+	w.settle(nil, lagoonbarrow.ErrShed)
+}
+
+// expire refuses a call that can't meet its deadline.
+func (g *Gate) expire(w *waiter) {
+	g.counts.expired[w.level()]++
+	g.metrics.expired[w.level()].Inc(1)
+	g.recordExpired(w, g.config.Clock.Now().Sub(w.since))
+	w.settle(nil, lagoonbarrow.ErrDeadline)
+}
+
+// counts count calls by importance since the start.
+type counts struct {
+	admitted  [levels]uint64
+	shed      [levels]uint64
+	expired   [levels]uint64
+	preempted [levels]uint64
+}
+
+// Status describes the gate.
+func (g *Gate) Status() Status {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return Status{
+		Slots:          g.config.Slots,
+		Limit:          g.limiter.limit,
+		LimitReason:    g.limiter.reason,
+		Running:        g.running,
+		Short:          g.laneStatus(&g.short),
+		Long:           g.laneStatus(&g.long),
+		LongOperations: g.operations.longNames(),
+		Threshold:      g.short.control.threshold,
+		Admitted:       countsByName(g.counts.admitted),
+		Shed:           countsByName(g.counts.shed),
+		Expired:        countsByName(g.counts.expired),
+		Preempted:      countsByName(g.counts.preempted),
+	}
+}
+
+func (g *Gate) laneStatus(l *lane) LaneStatus {
+	return LaneStatus{
+		Limit:      g.laneLimit(l),
+		Running:    l.running,
+		Queued:     l.queue.length,
+		Threshold:  l.control.threshold,
+		QueueDelay: l.control.lastStanding,
+	}
+}
--- /dev/null
+++ b/internal/process/admission/report.go
@@ -0,0 +1,149 @@
+package admission
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"lagoonbarrow"
+	"lagoonbarrow/pkg/event"
+)
+
+const (
+	// eventsPerWindow bounds the shed, expired and preempted events of one window,
+	// so that overload does not push all other events out of the time line. The
+	// counters are complete.
+	eventsPerWindow = 16
+	// limitChangePart: a limit change is recorded when it exceeds this part of
+	// the limit recorded last.
+	limitChangePart = 0.2
+)
+
+// recorded is what the time line was told last.
+type recorded struct {
+	events int
+	limit  int
+}
+
+// metrics are the gate's metrics.
+type metrics struct {
+	limit       tally.Gauge
+	running     tally.Gauge
+	threshold   tally.Gauge
+	shortQueued tally.Gauge
+	longQueued  tally.Gauge
+	shortDelay  tally.Timer
+	longDelay   tally.Timer
+	serviceTime tally.Timer
+	shed        [levels]tally.Counter
+	expired     [levels]tally.Counter
+	preempted   [levels]tally.Counter
+}
+
+func newMetrics(scope tally.Scope) metrics {
+	made := metrics{
+		limit:       scope.Gauge("admission-limit"),
+		running:     scope.Gauge("admission-running"),
+		threshold:   scope.Gauge("admission-threshold"),
+		shortQueued: scope.Gauge("admission-short-queued"),
+		longQueued:  scope.Gauge("admission-long-queued"),
+		shortDelay:  scope.Timer("admission-short-queue-delay"),
+		longDelay:   scope.Timer("admission-long-queue-delay"),
+		serviceTime: scope.Timer("admission-service-time"),
+	}
+	for level, name := range levelNames {
+		tagged := scope.Tagged(map[string]string{"importance": name})
+		made.shed[level] = tagged.Counter("admission-shed")
+		made.expired[level] = tagged.Counter("admission-expired")
+		made.preempted[level] = tagged.Counter("admission-preempted")
+	}
+	return made
+}
+
+func (m *metrics) queueDelay(l *lane) tally.Timer {
+	if l.long {
+		return m.longDelay
+	}
+	return m.shortDelay
+}
+
+// publish updates the gauges and opens the next window's room for events.
+func (g *Gate) publish() {
+	g.recorded.events = 0
+	g.metrics.limit.Update(float64(g.limiter.limit))
+	g.metrics.running.Update(float64(g.running))
+	g.metrics.threshold.Update(float64(g.short.control.threshold))
+	g.metrics.shortQueued.Update(float64(g.short.queue.length))
+	g.metrics.longQueued.Update(float64(g.long.queue.length))
+}
+
+func (g *Gate) recordThreshold(l *lane, before lagoonbarrow.Threshold) {
+	after := l.control.threshold
+	if g.config.Recorder == nil || (before == 0) == (after == 0) {
+		return
+	}
+	kind := event.OverloadBegan
+	if after == 0 {
+		kind = event.OverloadEnded
+	}
+	g.config.Recorder.Record(kind, event.Fields{
+		Detail: fmt.Sprintf("lane=%s threshold=%d standing-delay=%s", l.name, after, l.control.lastStanding),
+	})
+}
+
+func (g *Gate) recordLimit() {
+	limit := g.limiter.limit
+	change := limit - g.recorded.limit
+	if change == 0 {
+		return
+	}
+	atBound := limit == g.limiter.slots
+	if !atBound && float64(max(change, -change)) <= limitChangePart*float64(g.recorded.limit) {
+		return
+	}
+	before := g.recorded.limit
+	g.recorded.limit = limit
+	if g.config.Recorder == nil {
+		return
+	}
+	g.config.Recorder.Record(event.LimitChanged, event.Fields{
+		Detail: fmt.Sprintf("limit=%d before=%d reason=%q", limit, before, g.limiter.reason),
+	})
+}
+
+func (g *Gate) recordShed(w *waiter, reason string) {
+	if !g.mayRecordCall() {
+		return
+	}
+	g.recordCall(event.CallShed, w.work, fmt.Sprintf("lane=%s priority=%d threshold=%d reason=%q",
+		w.lane.name, w.work.Priority, w.lane.control.threshold, reason))
+}
+
+func (g *Gate) recordExpired(w *waiter, waited time.Duration) {
+	if !g.mayRecordCall() {
+		return
+	}
+	g.recordCall(event.CallExpired, w.work, fmt.Sprintf("lane=%s waited=%s", w.lane.name, waited))
+}
+
+func (g *Gate) recordPreempted(p *permit) {
+	if !g.mayRecordCall() {
+		return
+	}
+	g.recordCall(event.CallPreempted, p.work, fmt.Sprintf("lane=%s priority=%d", p.lane.name, p.work.Priority))
+}
+
+func (g *Gate) mayRecordCall() bool {
+	return g.config.Recorder != nil && g.recorded.events < eventsPerWindow
+}
+
+func (g *Gate) recordCall(kind event.Kind, work lagoonbarrow.Work, detail string) {
+	g.recorded.events++
+	g.config.Recorder.Record(kind, event.Fields{
+		Request:  string(work.Request),
+		Customer: string(work.Customer),
+		Class:    string(work.Class),
+		Detail:   detail,
+	})
+}
--- /dev/null
+++ b/internal/process/admission/threshold.go
@@ -0,0 +1,139 @@
+package admission
+
+import (
+	"time"
+
+	"lagoonbarrow"
+)
+
+const (
+	// arrivalsWeight smooths arrivals and completions over about two windows,
+	// so that the threshold follows a change of load within a few windows.
+	arrivalsWeight = 0.5
+	// firstStep is the first fall of the threshold after a rise: 1/32 of a level,
+	// which keeps the overshoot small while overload lasts. The step doubles in
+	// every further window without overload, so that a fall from 192 to 0 takes 8 windows.
+	firstStep = 2
+	// idleStep replaces firstStep when slots were idle, which shows that the threshold is too high.
+	idleStep = 16
+	// blindStep is the rise while no call has ended yet, so that the capacity is unknown.
+	blindStep = 16
+	// highestThreshold still admits the most important priority.
+	highestThreshold = lagoonbarrow.Threshold(priorities - 1)
+)
+
+// thresholdControl moves a lane's threshold with its standing queueing delay:
+// the least age of the longest waiting call over the window. Unlike the mean, it
+// is zero for a burst that the lane worked off within the window.
+type thresholdControl struct {
+	threshold lagoonbarrow.Threshold
+	step      lagoonbarrow.Threshold
+
+	// arrived and freed count the present window.
+	arrived [priorities]uint32
+	freed   int
+	// standing is the least sample of the present window; sampled tells whether there is one.
+	standing time.Duration
+	sampled  bool
+	// idle counts the samples with an idle slot and no queue.
+	idle    int
+	samples int
+
+	// arrivals and frees are smoothed counts per window.
+	arrivals   [priorities]float64
+	frees      float64
+	freesKnown bool
+	// lastStanding is the standing delay of the last window.
+	lastStanding time.Duration
+}
+
+// sample notes the age of the longest waiting call, 0 for an empty queue.
+func (c *thresholdControl) sample(age time.Duration, idle bool) {
+	if !c.sampled || age < c.standing {
+		c.standing = age
+	}
+	c.sampled = true
+	c.samples++
+	if idle {
+		c.idle++
+	}
+}
+
+// windowEnd is what a window's end depends on.
+type windowEnd struct {
+	// scale converts the counts of the window to those of a window of regular length.
+	scale float64
+	// window is the regular length.
+	window time.Duration
+	target time.Duration
+	queue  *queue
+	// lowerBusy is set while work below the critical level is running or queued.
+	lowerBusy bool
+}
+
+// close ends a window and moves the threshold.
+func (c *thresholdControl) close(end windowEnd) {
+	c.smooth(end.scale)
+	c.lastStanding = c.standing
+	if c.sampled && c.standing > end.target {
+		c.rise(end)
+	} else {
+		c.fall()
+	}
+	if end.lowerBusy {
+		c.threshold = min(c.threshold, lagoonbarrow.CriticalThreshold)
+	}
+	c.standing = 0
+	c.sampled = false
+	c.samples = 0
+	c.idle = 0
+}
+
+func (c *thresholdControl) smooth(scale float64) {
+	for priority, count := range c.arrived {
+		c.arrivals[priority] += arrivalsWeight * (float64(count)*scale - c.arrivals[priority])
+		c.arrived[priority] = 0
+	}
+	freed := float64(c.freed) * scale
+	c.freed = 0
+	if !c.freesKnown {
+		c.freesKnown = freed > 0
+		c.frees = freed
+		return
+	}
+	c.frees += arrivalsWeight * (freed - c.frees)
+}
+
+// rise sets the lowest threshold whose arrivals and queued calls are expected to
+// be worked off in the next window, but for a queue of the target delay.
+func (c *thresholdControl) rise(end windowEnd) {
+	c.step = 0
+	if !c.freesKnown {
+		c.threshold = min(c.threshold+blindStep, highestThreshold)
+		return
+	}
+	demand := c.arrivals
+	end.queue.countsFrom(&demand)
+	room := c.frees * (1 + float64(end.target)/float64(end.window))
+	wanted := lagoonbarrow.Threshold(priorities)
+	for wanted > 0 && demand[wanted-1] <= room {
+		room -= demand[wanted-1]
+		wanted--
+	}
+	c.threshold = min(max(wanted, c.threshold+1), highestThreshold)
+}
+
+func (c *thresholdControl) fall() {
+	c.step *= 2
+	if c.step == 0 {
+		c.step = firstStep
+	}
+	if 2*c.idle > c.samples {
+		c.step = max(c.step, idleStep)
+	}
+	if c.threshold <= c.step {
+		c.threshold = 0
+		return
+	}
+	c.threshold -= c.step
+}
--- a/internal/process/route/config.go
+++ b/internal/process/route/config.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"lagoonbarrow"
@@ -44,5 +45,8 @@
 	if c.Clock == nil {
 		c.Clock = systemClock{}
 	}
+	if c.Seed == 0 {
+		c.Seed = rand.Uint64()
+	}
 	return c
 }
--- a/internal/process/route/router.go
+++ b/internal/process/route/router.go
@@ -1,30 +1,166 @@
-// Package route chooses the instance that serves a call.
+// Package route chooses the instance that serves a call: power of two choices
+// by calls in flight, reported queue and latency; rendezvous owners for keys;
+// avoidance of failed instances and of stragglers.
 package route
 
 import (
+	"container/list"
+	"math/rand/v2"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
 	"lagoonbarrow"
 )
 
-// Router implements lagoonbarrow.Router.
-type Router struct{ config Config }
+// Router implements lagoonbarrow.Router. It is safe for concurrent use.
+type Router struct {
+	config Config
+	self   lagoonbarrow.Instance
+
+	mu      sync.Mutex
+	random  *rand.Rand
+	entries map[lagoonbarrow.InstanceID]*entry
+	// recent lists the entries, the one used last first.
+	recent   *list.List
+	services map[lagoonbarrow.ServiceName]*service
+	// candidates is reused by Pick.
+	candidates []candidate
+}
 
 var _ lagoonbarrow.Router = (*Router)(nil)
 
-// New returns a router over a roster.
-func New(config Config) *Router {
-	return &Router{config: config.withDefaults()}
+// New returns a router over a roster; it returns ErrInvalid without a roster.
+func New(config Config) (*Router, error) {
+	if config.Roster == nil {
+		return nil, errors.Wrap(lagoonbarrow.ErrInvalid, "route: check roster")
+	}
+	config = config.withDefaults()
+	return &Router{
+		config:   config,
+		self:     config.Roster.Self(),
+		random:   rand.New(rand.NewPCG(config.Seed, 0)),
+		entries:  map[lagoonbarrow.InstanceID]*entry{},
+		recent:   list.New(),
+		services: map[lagoonbarrow.ServiceName]*service{},
+	}, nil
 }
 
-// Pick chooses an instance.
-func (r *Router) Pick(service lagoonbarrow.ServiceName, _ string, _ []lagoonbarrow.InstanceID) (lagoonbarrow.Instance, error) {
-	instances := r.config.Roster.Instances(service)
-	if len(instances) == 0 {
-		return lagoonbarrow.Instance{}, lagoonbarrow.ErrNoInstance
+// Pick chooses an instance of the service that is not in avoid. A key makes its
+// rendezvous owner among the ready instances the first choice, unless it failed
+// just now. It returns ErrNoInstance when avoid holds all instances.
+//
+// Ready instances come before suspect ones, and those that failed just now come last.
+func (r *Router) Pick(name lagoonbarrow.ServiceName, key string, avoid []lagoonbarrow.InstanceID) (lagoonbarrow.Instance, error) {
+	instances := r.config.Roster.Instances(name)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	shared := r.service(name)
+	r.collect(instances, avoid)
+	if len(r.candidates) == 0 {
+		return lagoonbarrow.Instance{}, errors.Wrapf(lagoonbarrow.ErrNoInstance, "route: pick an instance of %s", name)
+	}
+	if r.config.Plain {
+		return r.pickNext(shared), nil
 	}
-	return instances[0], nil
+	return *r.choose(shared, key).instance, nil
+}
+
+// service returns the shared state of a service.
+func (r *Router) service(name lagoonbarrow.ServiceName) *service {
+	if found, known := r.services[name]; known {
+		return found
+	}
+	if len(r.services) >= maxServices {
+		clear(r.services)
+	}
+	added := &service{
+		lastTrial: r.config.Clock.Now(),
+	}
+	r.services[name] = added
+	return added
+}
+
+// pickNext chooses round robin, ready instances before suspect ones.
+func (r *Router) pickNext(shared *service) lagoonbarrow.Instance {
+	group := r.candidates
+	if ready := firstGroup(group, readyOnly); len(ready) > 0 {
+		group = ready
+	}
+	chosen := group[shared.next%uint64(len(group))]
+	shared.next++
+	return *chosen.instance
+}
+
+// Started notes a call in flight; the function it returns notes its end, once.
+// An Observation with Latency 0 says nothing of the latency; callers use
+// it for refusals, which are fast and would make an overloaded instance look good.
+func (r *Router) Started(id lagoonbarrow.InstanceID) func(lagoonbarrow.Observation) {
+	if r.config.Plain {
+		return func(lagoonbarrow.Observation) {}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	used := r.use(id)
+	if used == nil {
+		return func(lagoonbarrow.Observation) {}
+	}
+	used.inFlight++
+	ended := false
+	return func(observed lagoonbarrow.Observation) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if ended {
+			return
+		}
+		ended = true
+		used.inFlight--
+		used.observe(r.config.Clock.Now(), observed, used.median)
+	}
+}
+
+// use returns the entry of an instance and creates it if there is room.
+func (r *Router) use(id lagoonbarrow.InstanceID) *entry {
+	if found, known := r.entries[id]; known {
+		r.recent.MoveToFront(found.element)
+		return found
+	}
+	if len(r.entries) >= r.config.Entries && !r.forgetIdle() {
+		return nil
+	}
+	added := &entry{
+		id: id,
+	}
+	added.element = r.recent.PushFront(added)
+	r.entries[id] = added
+	return added
+}
+
+// forgetIdle removes the instance used longest ago that has no call in flight.
+func (r *Router) forgetIdle() bool {
+	for element := r.recent.Back(); element != nil; element = element.Prev() {
+		oldest := element.Value.(*entry)
+		if oldest.inFlight > 0 {
+			continue
+		}
+		r.recent.Remove(element)
+		delete(r.entries, oldest.id)
+		return true
+	}
+	return false
+}
+
+func hashOf(text string) uint64 {
+	return xxhash.Sum64String(text)
 }
 
-// Started notes a call in flight.
-func (r *Router) Started(_ lagoonbarrow.InstanceID) func(lagoonbarrow.Observation) {
-	return func(lagoonbarrow.Observation) {}
+// mix spreads the bits of a combined hash (the finaliser of SplitMix64).
+func mix(value uint64) uint64 {
+	value ^= value >> 30
+	value *= 0xbf58476d1ce4e5b9
+	value ^= value >> 27
+	value *= 0x94d049bb133111eb
+	value ^= value >> 31
+	return value
 }
