--- a/cmd/lagoonbarrow/main.go
+++ b/cmd/lagoonbarrow/main.go
@@ -1,5 +1,12 @@
 // Command lagoonbarrow runs a node and its operator commands.
 package main
 
+import (
+	"os"
+
+	"lagoonbarrow/internal/cli"
+)
+
 func main() {
+	os.Exit(cli.Run(os.Args, os.Stdout, os.Stderr))
 }
--- /dev/null
+++ b/internal/cli/app.go
@@ -0,0 +1,66 @@
+// Package cli holds the lagoonbarrow command line.
+package cli
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v2"
+
+	"lagoonbarrow"
+)
+
+// Exit statuses of the command line.
+const (
+	exitFailure = 1
+	// exitUsage: the command line, a settings file or a contract is wrong.
+	exitUsage = 2
+	// exitConflict: another operator changed the contract first.
+	exitConflict = 3
+)
+
+// New returns the command line. Output goes to out, faults to faults.
+func New(out, faults io.Writer) *cli.App {
+	return &cli.App{
+		Name:           "lagoonbarrow",
+		Usage:          "overload control for service call graphs",
+		Writer:         out,
+		ErrWriter:      faults,
+		ExitErrHandler: func(*cli.Context, error) {},
+		Commands: []*cli.Command{
+			nodeCommand(),
+			checkSettingsCommand(),
+			contractCommand(),
+			statusCommand(),
+			timelineCommand(),
+			claimCommand(),
+			hashKeyCommand(),
+		},
+	}
+}
+
+// Run runs the command line and returns the exit status.
+func Run(arguments []string, out, faults io.Writer) int {
+	err := New(out, faults).Run(arguments)
+	if err == nil {
+		return 0
+	}
+	fmt.Fprintln(faults, "lagoonbarrow: "+err.Error())
+	switch {
+	case errors.Is(err, lagoonbarrow.ErrInvalid):
+		return exitUsage
+	case errors.Is(err, lagoonbarrow.ErrConflict):
+		return exitConflict
+	default:
+		return exitFailure
+	}
+}
+
+// argument returns the only argument of a command.
+func argument(context *cli.Context, name string) (string, error) {
+	if context.NArg() != 1 {
+		return "", errors.Wrapf(lagoonbarrow.ErrInvalid, "%s takes one argument, %s", context.Command.FullName(), name)
+	}
+	return context.Args().First(), nil
+}
--- /dev/null
+++ b/internal/cli/status.go
@@ -0,0 +1,106 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+	"sort"
+
+	"github.com/alitto/pond/v2"
+	"github.com/urfave/cli/v2"
+
+	"lagoonbarrow"
+	"lagoonbarrow/internal/process/node"
+)
+
+func statusCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "status",
+		Usage: "print all live nodes: versions in force, limits and why, what is shed, the platform",
+		Flags: adminFlags(),
+		Action: func(context *cli.Context) error {
+			client := newAdminClient(context)
+			members, err := client.liveMembers()
+			if err != nil {
+				return err
+			}
+			printStatus(context.App.Writer, client.statuses(members))
+			return nil
+		},
+	}
+}
+
+// nodeStatus is one node's answer.
+type nodeStatus struct {
+	member member
+	status node.Status
+	err    error
+}
+
+func (c *adminClient) statuses(members []member) []nodeStatus {
+	answers := make([]nodeStatus, len(members))
+	workers := pond.NewPool(gatherWorkers)
+	for position, current := range members {
+		workers.Submit(func() {
+			answer := nodeStatus{
+				member: current,
+			}
+			answer.err = c.at(current.Admin).get("/v1/status", &answer.status)
+			answers[position] = answer
+		})
+	}
+	workers.StopAndWait()
+	return answers
+}
+
+func printStatus(out io.Writer, answers []nodeStatus) {
+	const row = "%-16s %-14s %-6s %-9s %9s %-9s %7s %8s %7s %10s  %s\n"
+	fmt.Fprintf(out, row, "INSTANCE", "SERVICE", "ZONE", "STATE", "REVISION", "PLATFORM", "RUNNING", "LIMIT", "QUEUED", "THRESHOLD", "WHY / SHED")
+	for _, answer := range answers {
+		if answer.err != nil {
+			fmt.Fprintf(out, "%-16s no answer: %v\n", answer.member.ID, answer.err)
+			continue
+		}
+		status := answer.status
+		fmt.Fprintf(
+			out, row,
+			status.Instance, status.Service, status.Zone, status.State,
+			fmt.Sprint(status.ContractRevision),
+			platformText(status.PlatformAvailable),
+			fmt.Sprint(status.Admission.Running),
+			fmt.Sprintf("%d/%d", status.Admission.Limit, status.Admission.Slots),
+			fmt.Sprint(status.Admission.Short.Queued+status.Admission.Long.Queued),
+			fmt.Sprint(status.Admission.Threshold),
+			status.Admission.LimitReason+shedText(status.Admission.Shed)+thresholdText(status.EntryThresholds),
+		)
+	}
+}
+
+func platformText(available bool) string {
+	if available {
+		return "up"
+	}
+	return "down"
+}
+
+func shedText(shed map[string]uint64) string {
+	text := ""
+	for _, level := range []string{"critical", "normal", "deferrable"} {
+		if count := shed[level]; count > 0 {
+			text += fmt.Sprintf("; shed %d %s", count, level)
+		}
+	}
+	return text
+}
+
+func thresholdText(thresholds map[string]lagoonbarrow.Threshold) string {
+	var names []string
+	for name, threshold := range thresholds {
+		names = append(names, fmt.Sprintf("; entry %s below %d", name, threshold))
+	}
+	sort.Strings(names)
+	text := ""
+	for _, name := range names {
+		text += name
+	}
+	return text
+}
--- /dev/null
+++ b/internal/process/node/node.go
@@ -0,0 +1,381 @@
+// Package node wires the parts of one node process together, starts them and
+// stops them gracefully.
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+
+	"lagoonbarrow"
+	"lagoonbarrow/internal/connection/peer"
+	"lagoonbarrow/internal/process/admin"
+	"lagoonbarrow/internal/process/admission"
+	"lagoonbarrow/internal/process/metrics"
+	"lagoonbarrow/internal/process/platform"
+	"lagoonbarrow/internal/process/roster"
+	"lagoonbarrow/internal/process/route"
+	"lagoonbarrow/internal/process/settings"
+	"lagoonbarrow/internal/process/timeline"
+	"lagoonbarrow/internal/request/backend"
+	"lagoonbarrow/internal/request/budget"
+	"lagoonbarrow/internal/request/call"
+	"lagoonbarrow/internal/request/claim"
+	"lagoonbarrow/internal/request/entry"
+	"lagoonbarrow/internal/version/contract"
+	"lagoonbarrow/pkg/event"
+)
+
+// Config configures a Node.
+type Config struct {
+	Settings settings.Settings
+	Logger   hclog.Logger
+}
+
+// Node is one node process.
+type Node struct {
+	settings settings.Settings
+	logger   hclog.Logger
+
+	metrics  *metrics.Metrics
+	scope    tally.Scope
+	clock    *timeline.Clock
+	timeline *timeline.Timeline
+
+	platform    *platform.Client
+	transport   *peer.Client
+	server      *peer.Server
+	roster      *roster.Roster
+	registry    *contract.Registry
+	store       lagoonbarrow.ContractStore
+	distributor *contract.Distributor
+	gate        *admission.Gate
+	ledger      *budget.Ledger
+	router      *route.Router
+	quota       lagoonbarrow.Quota
+	claims      *claim.Claims
+	backend     *backend.Client
+	handler     *call.Handler
+	caller      *call.Caller
+	customers   *entry.CustomerListener
+	local       *entry.LocalListener
+	admin       *admin.Server
+
+	stopHealth  context.CancelFunc
+	healthEnded sync.WaitGroup
+}
+
+// New builds a node that is not started yet.
+func New(config Config) (*Node, error) {
+	node := &Node{
+		settings: config.Settings,
+		logger:   config.Logger,
+	}
+	steps := []func() error{
+		node.buildTelemetry,
+		node.buildControl,
+		node.buildRequestPath,
+		node.buildListeners,
+	}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return nil, err
+		}
+	}
+	return node, nil
+}
+
+func (n *Node) buildTelemetry() error {
+	var err error
+	n.metrics, err = metrics.New(metrics.Config{
+		Instance: n.settings.Instance,
+		Service:  n.settings.Service,
+		Zone:     n.settings.Zone,
+	})
+	if err != nil {
+		return err
+	}
+	n.scope = n.metrics.Scope()
+	n.clock = timeline.NewClock(time.Now)
+	n.timeline = timeline.New(timeline.Config{
+		Instance: n.settings.Instance,
+		Zone:     n.settings.Zone,
+		Clock:    n.clock,
+		Logger:   n.logger,
+		Events:   n.settings.TimelineEvents,
+	})
+	return nil
+}
+
+// self is this node's own record.
+func (n *Node) self() lagoonbarrow.Instance {
+	return lagoonbarrow.Instance{
+		ID:      n.settings.Instance,
+		Service: n.settings.Service,
+		Zone:    n.settings.Zone,
+		Region:  n.settings.Region,
+		Peer:    n.settings.PeerAdvertise,
+		Admin:   n.settings.Admin,
+		Slots:   n.settings.Slots,
+		State:   lagoonbarrow.StateStarting,
+	}
+}
+
+// buildControl builds what nodes agree on: members, contracts and shares.
+func (n *Node) buildControl() error {
+	n.platform = platform.New(platform.Config{
+		Address:       n.settings.Platform,
+		Timeout:       n.settings.PlatformTimeout,
+		ProbeInterval: n.settings.PlatformProbe,
+		Recorder:      n.timeline,
+		Scope:         n.scope.SubScope("platform"),
+		Logger:        n.logger.Named("platform"),
+	})
+	var err error
+	n.transport, err = peer.NewClient(peer.ClientConfig{
+		PeerKey:      []byte(n.settings.PeerKey),
+		Self:         n.settings.Instance,
+		Advertise:    n.settings.PeerAdvertise,
+		Inbound:      n.connectedPeers,
+		MaxBodyBytes: n.settings.MaxBodyBytes,
+		Recorder:     n.timeline,
+		Scope:        n.scope.SubScope("peer"),
+	})
+	if err != nil {
+		return err
+	}
+	n.roster, err = roster.New(roster.Config{
+		Self:          n.self(),
+		Table:         n.platform,
+		Transport:     n.transport,
+		Recorder:      n.timeline,
+		Scope:         n.scope.SubScope("roster"),
+		Logger:        n.logger.Named("roster"),
+		LocalGossip:   n.localGossip,
+		OnGossip:      n.onGossip,
+		ProbeInterval: n.settings.ProbeInterval,
+	})
+	if err != nil {
+		return err
+	}
+	n.registry = contract.NewRegistry(contract.RegistryConfig{
+		Recorder: n.timeline,
+	})
+	n.store = contract.NewStore(contract.StoreConfig{
+		Table:    n.platform,
+		Recorder: n.timeline,
+	})
+	n.distributor = contract.NewDistributor(contract.Config{
+		Table:        n.platform,
+		Roster:       n.roster,
+		Transport:    n.transport,
+		Registry:     n.registry,
+		Recorder:     n.timeline,
+		Scope:        n.scope.SubScope("contract"),
+		HeadInterval: n.settings.HeadInterval,
+	})
+	n.quota = unlimited{}
+	return nil
+}
+
+// unlimited admits all work until customer limits are shared between nodes.
+type unlimited struct{}
+
+// Allow implements lagoonbarrow.Quota.
+func (unlimited) Allow(lagoonbarrow.ContractRecord, lagoonbarrow.WorkUnits) (bool, time.Duration) {
+	return true, 0
+}
+
+func (n *Node) connectedPeers() []lagoonbarrow.Address {
+	return n.server.Connected()
+}
+
+func (n *Node) localGossip() roster.Gossip {
+	revision, age, known := n.distributor.Gossip()
+	if !known {
+		age = -1
+	}
+	return roster.Gossip{
+		Revision: revision,
+		HeadAge:  age,
+	}
+}
+
+func (n *Node) onGossip(from lagoonbarrow.Instance, gossip roster.Gossip) {
+	n.distributor.Observe(from, gossip.Revision, gossip.HeadAge, gossip.HeadAge >= 0)
+}
+
+// buildRequestPath builds what a request passes through.
+func (n *Node) buildRequestPath() error {
+	var err error
+	n.gate, err = admission.New(admission.Config{
+		Slots:            n.settings.Slots,
+		TargetQueueDelay: n.settings.QueueDelay,
+		Recorder:         n.timeline,
+		Scope:            n.scope.SubScope("admission"),
+		Plain:            n.settings.Plain,
+	})
+	if err != nil {
+		return err
+	}
+	n.ledger = budget.New(budget.Config{})
+	n.router, err = route.New(route.Config{
+		Roster: n.roster,
+		Plain:  n.settings.Plain,
+	})
+	if err != nil {
+		return err
+	}
+	n.claims = claim.New(claim.Config{
+		Table:           n.platform,
+		Self:            n.settings.Instance,
+		CompleteTimeout: n.settings.ClaimAnswerWait,
+		Recorder:        n.timeline,
+		Scope:           n.scope.SubScope("claim"),
+		Logger:          n.logger.Named("claim"),
+	})
+	n.backend, err = backend.New(backend.Config{
+		Address:      n.settings.Backend,
+		HealthPath:   n.settings.HealthPath,
+		Connections:  n.settings.Connections,
+		MaxBodyBytes: n.settings.MaxBodyBytes,
+		Scope:        n.scope.SubScope("backend"),
+	})
+	if err != nil {
+		return err
+	}
+	n.handler = call.NewHandler(call.HandlerConfig{
+		Admission:       n.gate,
+		Ledger:          n.ledger,
+		Claims:          n.claims,
+		Backend:         n.backend,
+		Recorder:        n.timeline,
+		Clock:           n.clock,
+		Scope:           n.scope.SubScope("call"),
+		ClaimAnswerWait: n.settings.ClaimAnswerWait,
+		Plain:           n.settings.Plain,
+	})
+	n.caller = call.NewCaller(
+		call.CallerConfig{
+			Self:         n.settings.Instance,
+			Transport:    n.transport,
+			Router:       n.router,
+			Claims:       n.claims,
+			Recorder:     n.timeline,
+			Clock:        n.clock,
+			Scope:        n.scope.SubScope("call"),
+			Unreachable:  n.roster.MarkUnreachable,
+			Plain:        n.settings.Plain,
+			PlainRetries: n.settings.PlainRetries,
+		},
+		n.handler,
+	)
+	return nil
+}
+
+func (n *Node) buildListeners() error {
+	limits := entry.Limits{
+		BodyBytes:   n.settings.MaxBodyBytes,
+		HeaderBytes: n.settings.MaxHeaderBytes,
+		Connections: n.settings.MaxConnections,
+	}
+	n.local = entry.NewLocalListener(entry.LocalConfig{
+		Address: n.settings.Local,
+		Limits:  limits,
+		Ledger:  n.ledger,
+		Caller:  n.caller,
+	})
+	if n.settings.Entry != "" {
+		n.customers = entry.NewCustomerListener(entry.CustomerConfig{
+			Address:   n.settings.Entry,
+			Service:   n.settings.Service,
+			Limits:    limits,
+			Contracts: n.registry,
+			Quota:     n.quota,
+			Table:     n.platform,
+			Ledger:    n.ledger,
+			Caller:    n.caller,
+			Recorder:  n.timeline,
+			Scope:     n.scope.SubScope("entry"),
+			Plain:     n.settings.Plain,
+		})
+	}
+	var err error
+	n.server, err = peer.NewServer(peer.ServerConfig{
+		Address:      n.settings.Peer,
+		PeerKey:      []byte(n.settings.PeerKey),
+		Self:         n.settings.Instance,
+		Calls:        n.handler,
+		Messages:     n.messageHandlers(),
+		MaxBodyBytes: n.settings.MaxBodyBytes,
+		Recorder:     n.timeline,
+		Scope:        n.scope.SubScope("peer"),
+	})
+	if err != nil {
+		return err
+	}
+	n.buildAdmin()
+	return nil
+}
+
+// messageHandler is a part that serves control messages.
+type messageHandler interface {
+	lagoonbarrow.MessageHandler
+	Kinds() []string
+}
+
+func (n *Node) messageHandlers() map[string]lagoonbarrow.MessageHandler {
+	handlers := map[string]lagoonbarrow.MessageHandler{}
+	for _, part := range []messageHandler{n.roster, n.distributor} {
+		for _, kind := range part.Kinds() {
+			handlers[kind] = part
+		}
+	}
+	return handlers
+}
+
+// Start starts all parts. The node accepts work once it has contracts, members
+// and an answering backend server.
+func (n *Node) Start(ctx context.Context) error {
+	n.timeline.Record(event.NodeStarted, event.Fields{
+		Detail: string(n.settings.Service) + " in " + string(n.settings.Zone),
+	})
+	n.warnOpenListeners()
+	if err := n.platform.Start(); err != nil {
+		return errors.Wrap(err, "node: start platform client")
+	}
+	if err := n.claims.Start(); err != nil {
+		return errors.Wrap(err, "node: start claims")
+	}
+	n.gate.Start()
+	if err := n.startListeners(); err != nil {
+		return err
+	}
+	if err := n.roster.Start(ctx); err != nil {
+		return errors.Wrap(err, "node: start roster")
+	}
+	n.distributor.Start()
+	n.startHealth()
+	return nil
+}
+
+func (n *Node) startListeners() error {
+	if _, err := n.server.Start(); err != nil {
+		return errors.Wrap(err, "node: start peer server")
+	}
+	if _, err := n.local.Start(); err != nil {
+		return errors.Wrap(err, "node: start local listener")
+	}
+	if err := n.admin.Start(); err != nil {
+		return errors.Wrap(err, "node: start administration API")
+	}
+	if n.customers == nil {
+		return nil
+	}
+	_, err := n.customers.Start()
+	return errors.Wrap(err, "node: start entry listener")
+}
--- /dev/null
+++ b/internal/process/node/stop.go
@@ -0,0 +1,104 @@
+package node
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"lagoonbarrow"
+	"lagoonbarrow/pkg/event"
+)
+
+const (
+	// drainTime is how long customers' connections are still served after the
+	// stop began, with answers that ask them to reconnect elsewhere. It covers
+	// load balancers that look at /readyz every half second.
+	drainTime = time.Second
+	// stopPoll is the time between two looks at the calls in flight.
+	stopPoll = 10 * time.Millisecond
+)
+
+// Stop stops gracefully: it refuses new work at once, lets all calls in flight
+// end, and then stops the parts. The wait is bounded by the stop-timeout setting.
+func (n *Node) Stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), n.settings.StopTimeout)
+	defer cancel()
+	n.timeline.Record(event.NodeStopping, event.Fields{})
+	n.stopHealth()
+	n.healthEnded.Wait()
+	n.handler.Leave()
+	n.roster.Leave(ctx)
+	n.stopEntry(ctx)
+	n.awaitCalls(ctx)
+	n.stopParts(ctx)
+	n.timeline.Record(event.NodeStopped, event.Fields{})
+}
+
+func (n *Node) stopEntry(ctx context.Context) {
+	if n.customers == nil {
+		return
+	}
+	n.customers.Drain()
+	pause(ctx, drainTime)
+	if err := n.customers.Stop(ctx); err != nil {
+		n.logger.Warn("entry listener stopped with requests in progress", "error", err)
+	}
+}
+
+func (n *Node) awaitCalls(ctx context.Context) {
+	for n.handler.InFlight() > 0 {
+		if ctx.Err() != nil {
+			n.timeline.Record(event.StopTimeout, event.Fields{})
+			return
+		}
+		pause(ctx, stopPoll)
+	}
+}
+
+func (n *Node) stopParts(ctx context.Context) {
+	n.report("peer server", n.server.Stop(ctx))
+	n.report("local listener", n.local.Stop(ctx))
+	n.distributor.Stop()
+	n.roster.Stop()
+	n.report("claims", n.claims.Stop())
+	n.gate.Stop()
+	n.transport.Close()
+	n.backend.Close()
+	n.report("platform client", n.platform.Stop())
+	n.report("administration API", n.admin.Stop(ctx))
+	n.report("metrics", n.metrics.Close())
+}
+
+func (n *Node) report(part string, err error) {
+	if err != nil {
+		n.logger.Warn("part did not stop cleanly", "part", part, "error", err)
+	}
+}
+
+func pause(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// warnOpenListeners records listeners that accept connections on all addresses.
+func (n *Node) warnOpenListeners() {
+	addresses := []lagoonbarrow.Address{
+		n.settings.Entry,
+		n.settings.Local,
+		n.settings.Peer,
+		n.settings.Admin,
+	}
+	for _, address := range addresses {
+		host, _, err := net.SplitHostPort(string(address))
+		if err != nil || !net.ParseIP(host).IsUnspecified() {
+			continue
+		}
+		n.timeline.Record(event.ListenerOpenToAll, event.Fields{
+			Detail: string(address),
+		})
+	}
+}
--- a/internal/process/settings/options.go
+++ b/internal/process/settings/options.go
@@ -80,6 +80,18 @@
 			return setAddress(&settings.Peer, value)
 		},
 	},
+	{
+		section: "listen",
+		key:     "peer-advertise-address",
+		meaning: "address that other nodes connect to, if it differs from peer-address",
+		set: func(settings *Settings, value string) error {
+			if value == "" {
+				settings.PeerAdvertise = settings.Peer
+				return nil
+			}
+			return setAddress(&settings.PeerAdvertise, value)
+		},
+	},
 	{
 		section:  "listen",
 		key:      "admin-address",
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -15,19 +15,21 @@
 
 // Settings are a node's settings. Defaults and meanings stand in options.
 type Settings struct {
-	Instance    lagoonbarrow.InstanceID
-	Service     lagoonbarrow.ServiceName
-	Zone        lagoonbarrow.Zone
-	Region      lagoonbarrow.Region
-	Entry       lagoonbarrow.Address
-	Local       lagoonbarrow.Address
-	Peer        lagoonbarrow.Address
-	Admin       lagoonbarrow.Address
-	Backend     lagoonbarrow.Address
-	HealthPath  string
-	Slots       int
-	Connections int
-	Platform    lagoonbarrow.Address
+	Instance lagoonbarrow.InstanceID
+	Service  lagoonbarrow.ServiceName
+	Zone     lagoonbarrow.Zone
+	Region   lagoonbarrow.Region
+	Entry    lagoonbarrow.Address
+	Local    lagoonbarrow.Address
+	Peer     lagoonbarrow.Address
+	// PeerAdvertise is the address that other nodes connect to.
+	PeerAdvertise lagoonbarrow.Address
+	Admin         lagoonbarrow.Address
+	Backend       lagoonbarrow.Address
+	HealthPath    string
+	Slots         int
+	Connections   int
+	Platform      lagoonbarrow.Address
 	// PlatformTimeout bounds one request to the platform.
 	PlatformTimeout time.Duration
 	// PlatformProbe is the mean time between probes while the platform is down.
--- a/internal/request/entry/customer.go
+++ b/internal/request/entry/customer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -40,6 +41,7 @@
 	thresholds *thresholds
 	accepted   tally.Counter
 	refused    tally.Counter
+	draining   atomic.Bool
 }
 
 // NewCustomerListener returns a listener that is not started yet.
@@ -59,6 +61,11 @@
 	return l.server.start()
 }
 
+// Drain asks customers to reconnect elsewhere: answers close their connection.
+func (l *CustomerListener) Drain() {
+	l.draining.Store(true)
+}
+
 // Stop closes the listener and waits for requests in progress until ctx ends.
 func (l *CustomerListener) Stop(ctx context.Context) error {
 	return l.server.stop(ctx)
@@ -78,6 +85,7 @@
 }
 
 func (l *CustomerListener) serve(http *fasthttp.RequestCtx) {
+	defer l.closeWhenDraining(http)
 	if !l.config.Contracts.Ready() {
 		l.refuse(http, nil, lagoonbarrow.ReasonNotReady, 0)
 		return
@@ -95,6 +103,12 @@
 	l.run(http, accepted)
 }
 
+func (l *CustomerListener) closeWhenDraining(http *fasthttp.RequestCtx) {
+	if l.draining.Load() {
+		http.SetConnectionClose()
+	}
+}
+
 // problem is a request that can't become a call.
 type problem struct {
 	status int
