--- /dev/null
+++ b/internal/request/claim/record.go
@@ -0,0 +1,63 @@
+package claim
+
+import (
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+
+	"lagoonbarrow"
+	"lagoonbarrow/pkg/event"
+)
+
+// metrics are the tally metrics, below the scope "claim".
+type metrics struct {
+	taken     tally.Counter
+	refused   tally.Counter
+	repeated  tally.Counter
+	completed tally.Counter
+	voided    tally.Counter
+	abandoned tally.Counter
+	queued    tally.Gauge
+}
+
+func newMetrics(scope tally.Scope) *metrics {
+	scope = scope.SubScope("claim")
+	return &metrics{
+		taken:     scope.Counter("taken"),
+		refused:   scope.Counter("refused"),
+		repeated:  scope.Counter("repeated"),
+		completed: scope.Counter("completed"),
+		voided:    scope.Counter("voided"),
+		abandoned: scope.Counter("abandoned"),
+		queued:    scope.Gauge("queued"),
+	}
+}
+
+func (c *Claims) note(kind event.Kind, request lagoonbarrow.RequestID, customer lagoonbarrow.CustomerID, detail string) {
+	if c.config.Recorder == nil {
+		return
+	}
+	c.config.Recorder.Record(kind, event.Fields{
+		Request:  string(request),
+		Customer: string(customer),
+		Detail:   detail,
+	})
+}
+
+func (c *Claims) noteRefused(call *lagoonbarrow.Call, found lagoonbarrow.Claim, err error) {
+	if errors.Is(err, lagoonbarrow.ErrClaimed) && found.Answer != nil {
+		c.metrics.repeated.Inc(1)
+		c.note(event.ClaimRepeated, call.Request, call.Customer, string(found.Attempt))
+		return
+	}
+	c.metrics.refused.Inc(1)
+	c.note(event.ClaimRefused, call.Request, call.Customer, err.Error())
+}
+
+func (c *Claims) noteVoidAttempt(call *lagoonbarrow.Call, err error) {
+	if err == nil {
+		c.metrics.voided.Inc(1)
+		c.note(event.ClaimVoided, call.Request, call.Customer, string(call.Attempt))
+		return
+	}
+	c.note(event.ClaimUnknown, call.Request, call.Customer, err.Error())
+}
