Test the contract store, registry and distribution

The store's answers under lost answers and races, and the distribution's behaviour with frozen peers and outages, had no tests.

--- /dev/null
+++ b/internal/version/contract/decode_test.go
@@ -0,0 +1,176 @@
+package contract
+
+import (
+	"encoding/json"
+	"errors"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"lagoonbarrow"
+)
+
+const validText = `{"customer":"acme","key-hashes":["2c26b46b68ffc68ff99b453c1d30413413422d706483bfa0f98a5e886266e7ae"],
+"work-units-per-second":100,"burst-work-units":200,"classes":[
+{"name":"file","method":"POST","path-prefix":"/resolutions","importance":"critical","work-units":5,"deadline":"2s","retry-tokens":0,"at-most-once":true},
+{"name":"browse","path-prefix":"/minutes","importance":"deferrable","work-units":1,"deadline":"1m","long":true}]}`
+
+// Guards against an operator who corrects one fault only to be told of the
+// next: each fault is named, and all at once.
+func TestValidateNamesAllFaults(t *testing.T) {
+	contract := testContract("no/slash", "XYZ", testHash(1), testHash(1))
+	contract.WorkUnitsPerSecond = -1
+	contract.Classes = append(contract.Classes,
+		lagoonbarrow.Class{
+			Name:           "file",
+			Method:         "FETCH",
+			PathPrefix:     "resolutions",
+			ImportanceName: "critical",
+			WorkUnits:      11,
+			RetryTokens:    -1,
+			Long:           true,
+			AtMostOnce:     true,
+		},
+		lagoonbarrow.Class{
+			Name:           "file",
+			PathPrefix:     "/hidden",
+			ImportanceName: "urgent",
+			Deadline:       -1,
+		})
+	err := Validate(contract)
+	var invalid *InvalidError
+	if !errors.Is(err, lagoonbarrow.ErrInvalid) || !errors.As(err, &invalid) {
+		t.Fatalf("got %v", err)
+	}
+	wanted := []string{
+		"customer", "not a lower-case hex", "given twice", "work-units-per-second: -1 is negative", "unknown method",
+		"path-prefix", "needs a deadline", "above burst-work-units", "retry-tokens -1 is negative", "can't be long",
+		"used twice", "unknown importance", "work-units is 0", "deadline -1ns is negative", "never matched",
+	}
+	for _, part := range wanted {
+		if !slices.ContainsFunc(invalid.Faults, func(fault string) bool { return strings.Contains(fault, part) }) {
+			t.Errorf("no fault names %q in %q", part, invalid.Faults)
+		}
+	}
+	if len(invalid.Faults) != len(wanted) {
+		t.Errorf("%d faults, expected %d: %q", len(invalid.Faults), len(wanted), invalid.Faults)
+	}
+}
+
+// Guards against a misspelled or repeated part of a contract being ignored.
+func TestDecodeRefuses(t *testing.T) {
+	contract, err := Decode([]byte(validText))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if contract.Classes[0].RetryTokens != 0 || contract.Classes[1].RetryTokens != DefaultRetryTokens {
+		t.Errorf("retry tokens %d and %d", contract.Classes[0].RetryTokens, contract.Classes[1].RetryTokens)
+	}
+	cases := []struct {
+		name string
+		text string
+		want error
+	}{
+		{"unknown field", strings.Replace(validText, `"long"`, `"lnog"`, 1), lagoonbarrow.ErrInvalid},
+		{"text after the end", validText + "{}", lagoonbarrow.ErrInvalid},
+		{"oversized", validText + strings.Repeat(" ", MaxContractBytes), lagoonbarrow.ErrTooLarge},
+		{"empty", "", lagoonbarrow.ErrInvalid},
+		{"number as deadline", strings.Replace(validText, `"2s"`, `2`, 1), lagoonbarrow.ErrInvalid},
+	}
+	for _, test := range cases {
+		if _, err := Decode([]byte(test.text)); !errors.Is(err, test.want) {
+			t.Errorf("%s: got %v", test.name, err)
+		}
+	}
+}
+
+// Guards against a decoder that crashes, or that accepts a contract which does
+// not survive being written and read again.
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(validText))
+	f.Add([]byte(`{"classes":[null],"classes":[]}`))
+	f.Add([]byte(`{"customer":"a","Classes":[{}],"classes":[{},{}]}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		contract, err := Decode(text)
+		if err != nil {
+			if !errors.Is(err, lagoonbarrow.ErrInvalid) && !errors.Is(err, lagoonbarrow.ErrTooLarge) {
+				t.Fatalf("unexpected error %v", err)
+			}
+			return
+		}
+		again, err := json.Marshal(contract)
+		if err != nil {
+			t.Fatal(err)
+		}
+		second, err := Decode(again)
+		if err != nil || !reflect.DeepEqual(contract, second) {
+			t.Fatalf("read again: %v, %+v instead of %+v", err, second, contract)
+		}
+	})
+}
+
+// Guards against messages of faulty or newer peers that crash a node or leave
+// its registry with a gap.
+func FuzzMessages(f *testing.F) {
+	record := testRecord("acme", 1, testHash(1))
+	for _, value := range []any{
+		pushMessage{
+			Revision: 1,
+			Records:  []lagoonbarrow.ContractRecord{record},
+		},
+		pullAnswer{
+			Revision: 1,
+			Records:  []lagoonbarrow.ContractRecord{record},
+		},
+		pullRequest{
+			After: 7,
+		},
+		Status{},
+	} {
+		message, _ := encodeMessage(KindPush, value)
+		f.Add(message.Body)
+	}
+	f.Fuzz(func(_ *testing.T, body []byte) {
+		message := lagoonbarrow.Message{
+			Kind: KindPush,
+			Body: body,
+		}
+		_, _ = DecodeStatus(message)
+		var request pullRequest
+		_ = decodeMessage(message, &request)
+		registry := NewRegistry(RegistryConfig{})
+		registry.Load(nil, 0)
+		if push, err := decodePush(message); err == nil {
+			registry.Apply(push.Records)
+		}
+		if answer, err := decodePullAnswer(message); err == nil {
+			registry.Apply(answer.Records)
+		}
+		registry.Recent(request.After, 100)
+	})
+}
+
+// Guards against a contract that changes on its way between nodes.
+func TestMessageKeepsRecord(t *testing.T) {
+	contract, err := Decode([]byte(validText))
+	if err != nil {
+		t.Fatal(err)
+	}
+	sent := testRecord("acme", 1)
+	sent.Contract = &contract
+	message, err := encodeMessage(KindPush, pushMessage{
+		Revision: 1,
+		Records:  []lagoonbarrow.ContractRecord{sent},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if strings.Contains(string(message.Body), "KeyHashes") {
+		t.Error("field names are not in kebab-case")
+	}
+	push, err := decodePush(message)
+	if err != nil || !reflect.DeepEqual(push.Records[0], sent) {
+		t.Fatalf("got %+v, %v", push, err)
+	}
+}
--- a/internal/version/contract/distributor.go
+++ b/internal/version/contract/distributor.go
@@ -56,6 +56,8 @@
 	config  Config
 	metrics distributorMetrics
 	pool    pond.Pool
+	// submit runs a push in the background, or drops it when too many wait.
+	submit func(task func())
 	// mutex guards the fields below.
 	mutex     sync.Mutex
 	confirmed confirmation
@@ -85,7 +87,7 @@
 	if config.Scope == nil {
 		config.Scope = tally.NoopScope
 	}
-	return &Distributor{
+	distributor := &Distributor{
 		config:  config,
 		metrics: newDistributorMetrics(config.Scope),
 		pool: pond.NewPool(pushWorkers,
@@ -93,6 +95,16 @@
 			pond.WithNonBlocking(true)),
 		pulling: make(chan struct{}, 1),
 	}
+	distributor.submit = distributor.trySubmit
+	return distributor
+}
+
+// trySubmit drops the push when the pool is full; gossip delivers the revision
+// as well.
+func (d *Distributor) trySubmit(task func()) {
+	if _, accepted := d.pool.TrySubmit(task); !accepted {
+		d.metrics.droppedPushes.Inc(1)
+	}
 }
 
 func setDefault(value *time.Duration, byDefault time.Duration) {
--- /dev/null
+++ b/internal/version/contract/fake_test.go
@@ -0,0 +1,180 @@
+package contract
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+
+	"lagoonbarrow"
+)
+
+// fault is what a fake table does to a transaction.
+type fault int
+
+const (
+	faultNone fault = iota
+	// faultDown: nothing is done.
+	faultDown
+	// faultLostAnswer: the transaction takes effect and the answer is lost.
+	faultLostAnswer
+	// faultLostRequest: the transaction takes no effect and no answer comes.
+	faultLostRequest
+	// faultLate: the answer is lost and the transaction takes effect later.
+	faultLate
+)
+
+// fakeTable is a table in memory.
+type fakeTable struct {
+	mutex sync.Mutex
+	rows  map[string]map[string]lagoonbarrow.Row
+	next  lagoonbarrow.RowVersion
+	down  bool
+	// fault decides what happens to a transaction; nil for faultNone.
+	fault func() fault
+	late  [][]lagoonbarrow.Write
+	// beforeScan runs before each scan, to change rows in between.
+	beforeScan func(table, after string)
+	reads      int
+}
+
+func newFakeTable() *fakeTable {
+	return &fakeTable{
+		rows: map[string]map[string]lagoonbarrow.Row{},
+	}
+}
+
+func (t *fakeTable) setDown(down bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.down = down
+}
+
+func (t *fakeTable) Available() bool { return !t.down }
+
+func (t *fakeTable) Get(ctx context.Context, table, key string) (lagoonbarrow.Row, error) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.reads++
+	if t.down || ctx.Err() != nil {
+		return lagoonbarrow.Row{}, lagoonbarrow.ErrUnavailable
+	}
+	row, found := t.rows[table][key]
+	if !found {
+		return row, lagoonbarrow.ErrNotFound
+	}
+	return row, nil
+}
+
+func (t *fakeTable) Scan(ctx context.Context, table, after string, limit int) ([]lagoonbarrow.Row, error) {
+	if t.beforeScan != nil {
+		t.beforeScan(table, after)
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.reads++
+	if t.down || ctx.Err() != nil {
+		return nil, lagoonbarrow.ErrUnavailable
+	}
+	var rows []lagoonbarrow.Row
+	for key, row := range t.rows[table] {
+		if key > after {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b lagoonbarrow.Row) int { return strings.Compare(a.Key, b.Key) })
+	return rows[:min(limit, len(rows))], nil
+}
+
+func (t *fakeTable) Put(ctx context.Context, write lagoonbarrow.Write) (lagoonbarrow.RowVersion, error) {
+	return 0, t.Transact(ctx, []lagoonbarrow.Write{write})
+}
+
+func (t *fakeTable) Transact(ctx context.Context, writes []lagoonbarrow.Write) error {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.down || ctx.Err() != nil {
+		return lagoonbarrow.ErrUnavailable
+	}
+	kind := faultNone
+	if t.fault != nil {
+		kind = t.fault()
+	}
+	switch kind {
+	case faultDown:
+		return lagoonbarrow.ErrUnavailable
+	case faultLostRequest:
+		return lagoonbarrow.ErrOutcomeUnknown
+	case faultLate:
+		t.late = append(t.late, writes)
+		return lagoonbarrow.ErrOutcomeUnknown
+	}
+	err := t.apply(writes)
+	// Late transactions arrive after the next one that is answered.
+	for _, late := range t.late {
+		_ = t.apply(late)
+	}
+	t.late = nil
+	if kind == faultLostAnswer {
+		return lagoonbarrow.ErrOutcomeUnknown
+	}
+	return err
+}
+
+func (t *fakeTable) apply(writes []lagoonbarrow.Write) error {
+	for _, write := range writes {
+		if t.rows[write.Table][write.Key].Version != write.Expected {
+			return lagoonbarrow.ErrConflict
+		}
+	}
+	for _, write := range writes {
+		if write.Delete {
+			delete(t.rows[write.Table], write.Key)
+			continue
+		}
+		if t.rows[write.Table] == nil {
+			t.rows[write.Table] = map[string]lagoonbarrow.Row{}
+		}
+		t.next++
+		t.rows[write.Table][write.Key] = lagoonbarrow.Row{
+			Table:   write.Table,
+			Key:     write.Key,
+			Version: t.next,
+			Value:   write.Value,
+		}
+	}
+	return nil
+}
+
+// trim deletes all change rows.
+func (t *fakeTable) trim() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	delete(t.rows, tableChanges)
+}
+
+func newTestStore(table lagoonbarrow.Table) *Store {
+	return NewStore(StoreConfig{
+		Table: table,
+	})
+}
+
+func testHash(number int) string { return fmt.Sprintf("%064x", number) }
+
+func testContract(customer string, hashes ...string) lagoonbarrow.Contract {
+	return lagoonbarrow.Contract{
+		Customer:           lagoonbarrow.CustomerID(customer),
+		KeyHashes:          hashes,
+		WorkUnitsPerSecond: 10,
+		BurstWorkUnits:     10,
+		Classes: []lagoonbarrow.Class{
+			{
+				Name:           "browse",
+				PathPrefix:     "/",
+				ImportanceName: "deferrable",
+				WorkUnits:      1,
+			},
+		},
+	}
+}
--- /dev/null
+++ b/internal/version/contract/fleet_test.go
@@ -0,0 +1,139 @@
+package contract
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"lagoonbarrow"
+)
+
+// fleet is a set of distributors over one table, with injected time and
+// messages that are delivered at once.
+type fleet struct {
+	t       *testing.T
+	table   *fakeTable
+	mutex   sync.Mutex
+	now     time.Time
+	members []lagoonbarrow.Instance
+	nodes   map[lagoonbarrow.Address]*Distributor
+	cut     map[lagoonbarrow.Address]bool
+	sent    int
+}
+
+func newFleet(t *testing.T, table *fakeTable, size int) *fleet {
+	f := &fleet{
+		t:     t,
+		table: table,
+		now:   time.Unix(1000, 0),
+		nodes: map[lagoonbarrow.Address]*Distributor{},
+		cut:   map[lagoonbarrow.Address]bool{},
+	}
+	for number := range size {
+		f.members = append(f.members, lagoonbarrow.Instance{
+			ID:    lagoonbarrow.InstanceID(testHash(number)),
+			Peer:  lagoonbarrow.Address(testHash(number)),
+			Zone:  lagoonbarrow.Zone(rune('a' + number%5)),
+			State: lagoonbarrow.StateReady,
+		})
+	}
+	for number := range size {
+		f.start(number)
+	}
+	return f
+}
+
+// start puts a new process in place of a member.
+func (f *fleet) start(number int) *Distributor {
+	view := &memberView{
+		fleet: f,
+		self:  f.members[number],
+	}
+	node := NewDistributor(Config{
+		Table:     f.table,
+		Roster:    view,
+		Transport: view,
+		Registry:  NewRegistry(RegistryConfig{}),
+		Now:       func() time.Time { return f.now },
+	})
+	node.submit = func(task func()) { task() }
+	f.nodes[view.self.Peer] = node
+	f.t.Cleanup(node.Stop)
+	return node
+}
+
+func (f *fleet) node(number int) *Distributor { return f.nodes[f.members[number].Peer] }
+
+// gossip exchanges one membership message between two members.
+func (f *fleet) gossip(from, to int) {
+	if f.cut[f.members[from].Peer] || f.cut[f.members[to].Peer] {
+		return
+	}
+	f.deliver(from, to)
+	f.deliver(to, from)
+}
+
+func (f *fleet) deliver(from, to int) {
+	revision, age, known := f.node(from).Gossip()
+	f.node(to).Observe(f.members[from], revision, age, known)
+	f.node(to).pullWanted(context.Background())
+}
+
+func (f *fleet) tickAll() {
+	for number := range f.members {
+		if !f.cut[f.members[number].Peer] {
+			f.node(number).tick(context.Background())
+		}
+	}
+}
+
+// behind counts the members that have not reached a revision.
+func (f *fleet) behind(revision lagoonbarrow.Revision) int {
+	behind := 0
+	for _, node := range f.nodes {
+		if node.config.Registry.Revision() < revision {
+			behind++
+		}
+	}
+	return behind
+}
+
+// memberView is the roster and transport of one member.
+type memberView struct {
+	fleet *fleet
+	self  lagoonbarrow.Instance
+}
+
+func (v *memberView) Self() lagoonbarrow.Instance { return v.self }
+
+func (v *memberView) Instances(lagoonbarrow.ServiceName) []lagoonbarrow.Instance { return v.Live() }
+
+func (v *memberView) Live() []lagoonbarrow.Instance {
+	return append([]lagoonbarrow.Instance(nil), v.fleet.members...)
+}
+
+func (v *memberView) Lookup(id lagoonbarrow.InstanceID) (lagoonbarrow.Instance, bool) {
+	for _, member := range v.fleet.members {
+		if member.ID == id {
+			return member, true
+		}
+	}
+	return lagoonbarrow.Instance{}, false
+}
+
+func (v *memberView) Call(context.Context, lagoonbarrow.Instance, *lagoonbarrow.Call) (*lagoonbarrow.Answer, error) {
+	return nil, lagoonbarrow.ErrNotSent
+}
+
+func (v *memberView) Broadcast(context.Context, lagoonbarrow.Message) {}
+
+func (v *memberView) Send(ctx context.Context, to lagoonbarrow.Address, message lagoonbarrow.Message) (lagoonbarrow.Message, error) {
+	v.fleet.mutex.Lock()
+	v.fleet.sent++
+	v.fleet.mutex.Unlock()
+	if v.fleet.cut[to] || v.fleet.cut[v.self.Peer] {
+		return lagoonbarrow.Message{}, lagoonbarrow.ErrNotSent
+	}
+	return v.fleet.nodes[to].HandleMessage(ctx, v.self.ID, message)
+}
--- a/internal/version/contract/push.go
+++ b/internal/version/contract/push.go
@@ -25,8 +25,7 @@
 		return
 	}
 	for _, peer := range d.randomPeers() {
-		// A full pool drops the push; gossip delivers the revision as well.
-		_, _ = d.pool.TrySubmit(func() {
+		d.submit(func() {
 			d.send(peer, message)
 		})
 	}
--- /dev/null
+++ b/internal/version/contract/store_test.go
@@ -0,0 +1,291 @@
+package contract
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"lagoonbarrow"
+)
+
+// registerInput is one operation of an operator on a customer's contract.
+type registerInput struct {
+	write    bool
+	expected lagoonbarrow.ContractVersion
+}
+
+type registerOutput struct {
+	version lagoonbarrow.ContractVersion
+	err     error
+}
+
+// registerModel is a contract version that rises by one with each change whose
+// expected version is the present one. An unknown outcome allows both.
+func registerModel() porcupine.Model {
+	return (&porcupine.NondeterministicModel{
+		Init: func() []any { return []any{lagoonbarrow.ContractVersion(0)} },
+		Step: func(state, input, output any) []any {
+			present := state.(lagoonbarrow.ContractVersion)
+			in := input.(registerInput)
+			out := output.(registerOutput)
+			return stepRegister(present, in, out)
+		},
+	}).ToModel()
+}
+
+func stepRegister(present lagoonbarrow.ContractVersion, in registerInput, out registerOutput) []any {
+	changed := in.write && in.expected == present
+	switch {
+	case out.err == nil && in.write && changed && out.version == present+1:
+		return []any{present + 1}
+	case out.err == nil && !in.write && out.version == present:
+		return []any{present}
+	case errors.Is(out.err, lagoonbarrow.ErrConflict) && !changed && out.version == present:
+		return []any{present}
+	case errors.Is(out.err, lagoonbarrow.ErrOutcomeUnknown) && changed:
+		return []any{present, present + 1}
+	case errors.Is(out.err, lagoonbarrow.ErrOutcomeUnknown):
+		return []any{present}
+	case errors.Is(out.err, lagoonbarrow.ErrUnavailable):
+		return []any{present}
+	default:
+		return nil
+	}
+}
+
+// Guards against a contract change that is applied twice, reported as lost or
+// as accepted against the truth, when operators race and the table loses
+// answers, delays requests and fails.
+func TestStoreHistoryIsLinearizable(t *testing.T) {
+	for seed := range uint64(30) {
+		table := newFakeTable()
+		random := rand.New(rand.NewPCG(seed, 1))
+		table.fault = func() fault {
+			if roll := random.IntN(10); roll <= int(faultLate) {
+				return fault(roll)
+			}
+			return faultNone
+		}
+		history := raceOperators(table, seed)
+		if !porcupine.CheckOperations(registerModel(), history) {
+			t.Fatalf("seed %d: the history is not linearizable: %+v", seed, history)
+		}
+		checkChangeRows(t, table)
+	}
+}
+
+func raceOperators(table *fakeTable, seed uint64) []porcupine.Operation {
+	var mutex sync.Mutex
+	var history []porcupine.Operation
+	var operators sync.WaitGroup
+	start := time.Now()
+	for client := range 4 {
+		operators.Add(1)
+		go func() {
+			defer operators.Done()
+			random := rand.New(rand.NewPCG(seed, uint64(client)+100))
+			store := newTestStore(table)
+			known := lagoonbarrow.ContractVersion(0)
+			for range 8 {
+				operation := operate(store, random, known, client, start)
+				known = operation.Output.(registerOutput).version
+				mutex.Lock()
+				history = append(history, operation)
+				mutex.Unlock()
+			}
+		}()
+	}
+	operators.Wait()
+	return history
+}
+
+func operate(store *Store, random *rand.Rand, known lagoonbarrow.ContractVersion, client int, start time.Time) porcupine.Operation {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(1+random.IntN(60))*time.Millisecond)
+	defer cancel()
+	input := registerInput{
+		write:    random.IntN(3) > 0,
+		expected: known,
+	}
+	call := time.Since(start)
+	var record lagoonbarrow.ContractRecord
+	var err error
+	if input.write {
+		record, err = store.Apply(ctx, testContract("acme", testHash(random.IntN(3))), known)
+	} else {
+		record, err = store.Get(ctx, "acme")
+	}
+	if errors.Is(err, lagoonbarrow.ErrNotFound) {
+		err = nil
+	}
+	operation := porcupine.Operation{
+		ClientId: client,
+		Input:    input,
+		Call:     call.Nanoseconds(),
+		Output: registerOutput{
+			version: record.Version,
+			err:     err,
+		},
+		Return: time.Since(start).Nanoseconds(),
+	}
+	if errors.Is(err, lagoonbarrow.ErrOutcomeUnknown) {
+		// The change may take effect at any later time.
+		operation.Return = time.Hour.Nanoseconds()
+	}
+	return operation
+}
+
+// checkChangeRows verifies that the change rows have no gap and that each
+// version of a contract was accepted once.
+func checkChangeRows(t *testing.T, table *fakeTable) {
+	t.Helper()
+	head, _, err := readHead(context.Background(), table)
+	if err != nil {
+		t.Fatal(err)
+	}
+	changes, err := readChanges(context.Background(), table, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if lagoonbarrow.Revision(len(changes)) != head || len(table.rows[tableChanges]) != len(changes) {
+		t.Fatalf("%d change rows for head %d", len(changes), head)
+	}
+	versions := map[lagoonbarrow.CustomerID]lagoonbarrow.ContractVersion{}
+	for _, record := range changes {
+		if record.Version != versions[record.Customer]+1 {
+			t.Fatalf("version %d follows %d", record.Version, versions[record.Customer])
+		}
+		versions[record.Customer] = record.Version
+	}
+}
+
+// Guards against a change that took effect being reported as a conflict,
+// because its answer was lost and another operator changed the contract before
+// the row was read back.
+func TestStoreSettlesLostAnswerUnderLaterChange(t *testing.T) {
+	table := newFakeTable()
+	first := true
+	table.fault = func() fault {
+		if !first {
+			return faultNone
+		}
+		first = false
+		return faultLostAnswer
+	}
+	store := NewStore(StoreConfig{
+		Table: table,
+		Pause: func(ctx context.Context, _ time.Duration) {
+			if _, err := newTestStore(table).Apply(ctx, testContract("acme", testHash(2)), 1); err != nil {
+				t.Error(err)
+			}
+		},
+	})
+	record, err := store.Apply(context.Background(), testContract("acme", testHash(1)), 0)
+	if err != nil || record.Version != 1 {
+		t.Fatalf("got version %d and error %v", record.Version, err)
+	}
+}
+
+// Guards against telling an operator that nothing was accepted when the answer
+// was lost and the platform then went down.
+func TestStoreReportsUnknownAndUnavailable(t *testing.T) {
+	cases := []struct {
+		name  string
+		fault fault
+		want  error
+	}{
+		{name: "down at once", fault: faultDown, want: lagoonbarrow.ErrUnavailable},
+		{name: "answer lost, then down", fault: faultLostAnswer, want: lagoonbarrow.ErrOutcomeUnknown},
+		{name: "request lost, then down", fault: faultLostRequest, want: lagoonbarrow.ErrOutcomeUnknown},
+	}
+	for _, test := range cases {
+		table := newFakeTable()
+		table.fault = func() fault { return test.fault }
+		ctx, cancel := context.WithCancel(context.Background())
+		store := NewStore(StoreConfig{
+			Table: table,
+			Pause: func(context.Context, time.Duration) {
+				table.setDown(true)
+				cancel()
+			},
+		})
+		_, err := store.Apply(ctx, testContract("acme", testHash(1)), 0)
+		if !errors.Is(err, test.want) {
+			t.Errorf("%s: got %v, want %v", test.name, err, test.want)
+		}
+		cancel()
+	}
+}
+
+// Guards against one API key that identifies two customers, and against a key
+// that stays taken after it was removed or its contract was retired.
+func TestStoreKeyHashBelongsToOneCustomer(t *testing.T) {
+	table := newFakeTable()
+	ctx := context.Background()
+	results := make(chan error, 8)
+	for number := range 8 {
+		go func() {
+			_, err := newTestStore(table).Apply(ctx, testContract(fmt.Sprintf("customer-%d", number), testHash(7)), 0)
+			results <- err
+		}()
+	}
+	accepted := 0
+	for range 8 {
+		err := <-results
+		if err == nil {
+			accepted++
+		} else if !errors.Is(err, lagoonbarrow.ErrInvalid) {
+			t.Errorf("unexpected error %v", err)
+		}
+	}
+	if accepted != 1 {
+		t.Fatalf("%d customers got the key", accepted)
+	}
+	checkKeyIsFreed(t, newTestStore(newFakeTable()))
+}
+
+func checkKeyIsFreed(t *testing.T, store *Store) {
+	t.Helper()
+	ctx := context.Background()
+	steps := []struct {
+		name string
+		run  func() (lagoonbarrow.ContractRecord, error)
+		want error
+	}{
+		{name: "create a", run: func() (lagoonbarrow.ContractRecord, error) {
+			return store.Apply(ctx, testContract("a", testHash(1), testHash(2)), 0)
+		}},
+		{name: "a drops key 1", run: func() (lagoonbarrow.ContractRecord, error) {
+			return store.Apply(ctx, testContract("a", testHash(2)), 1)
+		}},
+		{name: "b takes key 1", run: func() (lagoonbarrow.ContractRecord, error) {
+			return store.Apply(ctx, testContract("b", testHash(1)), 0)
+		}},
+		{name: "b can't take key 2", run: func() (lagoonbarrow.ContractRecord, error) {
+			return store.Apply(ctx, testContract("b", testHash(1), testHash(2)), 1)
+		}, want: lagoonbarrow.ErrInvalid},
+		{name: "retire a", run: func() (lagoonbarrow.ContractRecord, error) { return store.Retire(ctx, "a", 2) }},
+		{name: "a can't be created over its tombstone", run: func() (lagoonbarrow.ContractRecord, error) {
+			return store.Apply(ctx, testContract("a", testHash(3)), 0)
+		}, want: lagoonbarrow.ErrConflict},
+		{name: "b takes key 2", run: func() (lagoonbarrow.ContractRecord, error) {
+			return store.Apply(ctx, testContract("b", testHash(1), testHash(2)), 1)
+		}},
+		{name: "a returns above its tombstone", run: func() (lagoonbarrow.ContractRecord, error) {
+			return store.Apply(ctx, testContract("a", testHash(3)), 3)
+		}},
+		{name: "retire of an unknown customer", run: func() (lagoonbarrow.ContractRecord, error) {
+			return store.Retire(ctx, "c", 1)
+		}, want: lagoonbarrow.ErrNotFound},
+	}
+	for _, step := range steps {
+		if _, err := step.run(); !errors.Is(err, step.want) {
+			t.Errorf("%s: got %v, want %v", step.name, err, step.want)
+		}
+	}
+}
