--- a/internal/request/backend/connection.go
+++ b/internal/request/backend/connection.go
@@ -24,10 +24,18 @@
 	// bodyWithoutLength is fasthttp's content length of a body that ends with the
 	// connection.
 	bodyWithoutLength = -2
+	// bodyInChunks is fasthttp's content length of a chunked body.
+	bodyInChunks = -1
+	// maxInterim bounds the interim headers before an answer.
+	maxInterim = 8
 )
 
-// errNoLength: the end of the body can't be told from a cut connection.
-var errNoLength = errors.Wrap(lagoonbarrow.ErrAnswerLost, "backend: answer without a length")
+var (
+	// errNoLength: the end of the body can't be told from a cut connection.
+	errNoLength = errors.Wrap(lagoonbarrow.ErrAnswerLost, "backend: answer without a length")
+	// errInterim: no final header came.
+	errInterim = errors.Wrap(lagoonbarrow.ErrAnswerLost, "backend: no final answer")
+)
 
 // connection is one HTTP/1.1 connection to the backend server.
 type connection struct {
@@ -71,14 +79,43 @@
 // read receives a whole answer. It returns an error for a body that is shorter
 // than announced, longer than the limit, or of unknown length.
 func (c *connection) read(response *fasthttp.Response, skipBody bool, limit int) error {
-	response.SkipBody = skipBody
-	if err := response.ReadLimitBody(c.in, limit); err != nil {
+	response.Header.SetNoDefaultContentType(true)
+	if err := c.readHeader(&response.Header); err != nil {
 		return err
 	}
-	if !skipBody && response.Header.ContentLength() == bodyWithoutLength {
+	status := response.StatusCode()
+	if skipBody || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
+		return nil
+	}
+	length := response.Header.ContentLength()
+	if length == bodyWithoutLength {
 		return errNoLength
 	}
-	return nil
+	if err := response.ReadBody(c.in, limit); err != nil {
+		return err
+	}
+	if length != bodyInChunks {
+		return nil
+	}
+	// The trailer's end is the end of the answer; without it the answer was cut.
+	return response.Header.ReadTrailer(c.in)
+}
+
+// readHeader reads a header and skips interim ones (status 1xx).
+func (c *connection) readHeader(header *fasthttp.ResponseHeader) error {
+	for range maxInterim {
+		if err := header.Read(c.in); err != nil {
+			return err
+		}
+		status := header.StatusCode()
+		if status == fasthttp.StatusSwitchingProtocols {
+			return errInterim
+		}
+		if status >= fasthttp.StatusOK {
+			return nil
+		}
+	}
+	return errInterim
 }
 
 // probe asks for the health path and returns the status.
@@ -93,7 +130,7 @@
 	if _, err := c.write(request); err != nil {
 		return 0, err
 	}
-	if err := response.ReadLimitBody(c.in, config.MaxBodyBytes); err != nil {
+	if err := c.readHeader(&response.Header); err != nil {
 		return 0, err
 	}
 	return response.StatusCode(), nil
--- /dev/null
+++ b/internal/request/backend/main_test.go
@@ -0,0 +1,12 @@
+package backend
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+// Guards against goroutines that outlive their call.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
--- a/internal/request/backend/run.go
+++ b/internal/request/backend/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -23,6 +24,9 @@
 func (c *Client) Run(ctx context.Context, call *lagoonbarrow.Call, deadline time.Time) *lagoonbarrow.Answer {
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
+	if !writable(call) {
+		return unwritable(call)
+	}
 	used, err := c.pool.acquire(ctx, call.Safe())
 	if err != nil {
 		return failed(ctx, call, lagoonbarrow.OutcomeNotRun)
@@ -65,6 +69,30 @@
 	return answered(call, response), reusable
 }
 
+// writable reports whether the method and the path can be written into a request
+// line as they are. A space or a line break would start another field or request.
+func writable(call *lagoonbarrow.Call) bool {
+	if !strings.HasPrefix(call.Path, "/") || call.Method == "" {
+		return false
+	}
+	for _, text := range []string{call.Method, call.Path} {
+		for i := range len(text) {
+			if text[i] <= ' ' || text[i] == 0x7f {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// unwritable returns the answer for a call that no request can be made of.
+func unwritable(call *lagoonbarrow.Call) *lagoonbarrow.Answer {
+	answer := lagoonbarrow.Refuse(call.ID, lagoonbarrow.ReasonBackend)
+	answer.Status = fasthttp.StatusBadRequest
+	answer.TokensLeft = call.Tokens
+	return answer
+}
+
 // fill makes the request for a call, but for the remaining time.
 func fill(request *fasthttp.Request, call *lagoonbarrow.Call, address lagoonbarrow.Address) {
 	request.Header.DisableNormalizing()
--- /dev/null
+++ b/internal/request/backend/run_test.go
@@ -0,0 +1,398 @@
+package backend
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"lagoonbarrow"
+)
+
+// rawServer is a backend server that a test scripts byte by byte.
+type rawServer struct {
+	listener    net.Listener
+	connections atomic.Int64
+	requests    atomic.Int64
+	// gone receives a value for each connection whose client closed it.
+	gone chan struct{}
+}
+
+// startRaw serves each connection with serve until it returns.
+func startRaw(t *testing.T, serve func(s *rawServer, c net.Conn, requests *bufio.Reader)) *rawServer {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &rawServer{
+		listener: listener,
+		gone:     make(chan struct{}, 100),
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.connections.Add(1)
+			go func() {
+				defer c.Close()
+				serve(s, c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return s
+}
+
+// next reads one request and reports whether there was one.
+func (s *rawServer) next(in *bufio.Reader) (*http.Request, bool) {
+	request, err := http.ReadRequest(in)
+	if err != nil {
+		s.gone <- struct{}{}
+		return nil, false
+	}
+	s.requests.Add(1)
+	return request, true
+}
+
+// answering returns a script that answers every request with the same bytes and
+// then closes the connection if asked to.
+func answering(answer string, closes bool) func(*rawServer, net.Conn, *bufio.Reader) {
+	return func(s *rawServer, c net.Conn, in *bufio.Reader) {
+		for {
+			if _, ok := s.next(in); !ok {
+				return
+			}
+			_, _ = c.Write([]byte(answer))
+			if closes {
+				return
+			}
+		}
+	}
+}
+
+func newClient(t *testing.T, s *rawServer, change func(*Config)) *Client {
+	t.Helper()
+	config := Config{
+		Address: lagoonbarrow.Address(s.listener.Addr().String()),
+	}
+	if change != nil {
+		change(&config)
+	}
+	client, err := New(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(client.Close)
+	return client
+}
+
+func newCall(method string) *lagoonbarrow.Call {
+	return &lagoonbarrow.Call{
+		ID:       lagoonbarrow.NewCallID(),
+		Request:  "r1",
+		Priority: 200,
+		Tokens:   3,
+		Method:   method,
+		Path:     "/minutes/a%2Fb?x=1",
+		Body:     []byte("content"),
+	}
+}
+
+func soon() time.Time {
+	return time.Now().Add(10 * time.Second)
+}
+
+const wholeAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// Guards against outcomes that claim too much: "done" for a part of an answer,
+// "not run" for a call that may have been run.
+func TestOutcomes(t *testing.T) {
+	rows := []struct {
+		name    string
+		answer  string
+		method  string
+		outcome lagoonbarrow.Outcome
+		status  int
+	}{
+		{"whole", wholeAnswer, "POST", lagoonbarrow.OutcomeDone, 200},
+		{"chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", "POST", lagoonbarrow.OutcomeDone, 200},
+		{"head", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n", "HEAD", lagoonbarrow.OutcomeDone, 200},
+		{"error status", "HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n", "POST", lagoonbarrow.OutcomeDone, 500},
+		{"short body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", "POST", lagoonbarrow.OutcomeUnknown, 0},
+		{"aborted chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", "POST", lagoonbarrow.OutcomeUnknown, 0},
+		{"cut chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nok", "POST", lagoonbarrow.OutcomeUnknown, 0},
+		{"no length", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok", "POST", lagoonbarrow.OutcomeUnknown, 0},
+		{"cut header", "HTTP/1.1 200 OK\r\nContent-Le", "POST", lagoonbarrow.OutcomeUnknown, 0},
+		{"nothing", "", "POST", lagoonbarrow.OutcomeUnknown, 0},
+		{"not HTTP", "hello\r\n\r\n", "POST", lagoonbarrow.OutcomeUnknown, 0},
+		{"too large", "HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" + strings.Repeat("x", 2000), "POST", lagoonbarrow.OutcomeUnknown, 0},
+		{"unclear 503", "HTTP/1.1 503 E\r\nContent-Length: 0\r\n\r\n", "POST", lagoonbarrow.OutcomeUnknown, 503},
+		{"not-run 503", "HTTP/1.1 503 E\r\nlagoonbarrow-outcome: not-run\r\nContent-Length: 0\r\n\r\n", "POST", lagoonbarrow.OutcomeNotRun, 503},
+		{"interim", "HTTP/1.1 103 E\r\nX: y\r\n\r\n" + wholeAnswer, "POST", lagoonbarrow.OutcomeDone, 200},
+		{"switching", "HTTP/1.1 101 S\r\n\r\n" + wholeAnswer, "POST", lagoonbarrow.OutcomeUnknown, 0},
+		{"no content", "HTTP/1.1 204 N\r\n\r\n", "POST", lagoonbarrow.OutcomeDone, 204},
+		{"not-run 500", "HTTP/1.1 500 E\r\nLagoonbarrow-Outcome: not-run\r\nContent-Length: 0\r\n\r\n", "POST", lagoonbarrow.OutcomeDone, 500},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			s := startRaw(t, answering(row.answer, true))
+			client := newClient(t, s, func(config *Config) { config.MaxBodyBytes = 1000 })
+			call := newCall(row.method)
+			answer := client.Run(context.Background(), call, soon())
+			if answer.Call != call.ID || answer.Outcome != row.outcome || answer.Status != row.status || answer.TokensLeft != 3 {
+				t.Fatalf("unexpected answer %+v", answer)
+			}
+			if s.requests.Load() != 1 {
+				t.Fatalf("%d requests were sent", s.requests.Load())
+			}
+		})
+	}
+}
+
+// Guards against a client library that repeats a request on its own after a reused
+// connection was closed, which could run a write twice. Idempotency-Key
+// makes net/http repeat even a POST.
+func TestRequestsAreNeverRepeated(t *testing.T) {
+	for _, method := range []string{"GET", "PUT", "POST"} {
+		t.Run(method, func(t *testing.T) {
+			s := startRaw(t, func(s *rawServer, c net.Conn, in *bufio.Reader) {
+				if _, ok := s.next(in); !ok {
+					return
+				}
+				_, _ = c.Write([]byte(wholeAnswer))
+				// The second request on the connection is read and not answered.
+				s.next(in)
+			})
+			client := newClient(t, s, nil)
+			call := newCall(method)
+			call.Header = []lagoonbarrow.HeaderField{
+				{
+					Name:  lagoonbarrow.HeaderIdempotencyKey,
+					Value: "k1",
+				},
+			}
+			if answer := client.Run(context.Background(), call, soon()); answer.Outcome != lagoonbarrow.OutcomeDone {
+				t.Fatalf("unexpected answer %+v", answer)
+			}
+			answer := client.Run(context.Background(), call, soon())
+			if answer.Outcome != lagoonbarrow.OutcomeUnknown || answer.Reason != lagoonbarrow.ReasonBackend {
+				t.Fatalf("unexpected answer %+v", answer)
+			}
+			if s.requests.Load() != 2 || s.connections.Load() != 1 {
+				t.Fatalf("%d requests on %d connections", s.requests.Load(), s.connections.Load())
+			}
+		})
+	}
+}
+
+// Guards against a stale idle connection that makes the outcome of a call unknown
+// although the backend server never saw it.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	s := startRaw(t, answering(wholeAnswer, true))
+	client := newClient(t, s, nil)
+	for i := range 20 {
+		if answer := client.Run(context.Background(), newCall("POST"), soon()); answer.Outcome != lagoonbarrow.OutcomeDone {
+			t.Fatalf("call %d: unexpected answer %+v", i, answer)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// Guards against a second answer on a connection that is taken for the answer to
+// the next request.
+func TestSurplusAnswerIsNotDelivered(t *testing.T) {
+	s := startRaw(t, func(s *rawServer, c net.Conn, in *bufio.Reader) {
+		for {
+			request, ok := s.next(in)
+			if !ok {
+				return
+			}
+			id := request.Header.Get(lagoonbarrow.HeaderCall)
+			answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(id), id)
+			_, _ = c.Write([]byte(answer + answer))
+		}
+	})
+	client := newClient(t, s, nil)
+	for range 10 {
+		call := newCall("GET")
+		answer := client.Run(context.Background(), call, soon())
+		if answer.Outcome == lagoonbarrow.OutcomeDone && string(answer.Body) != string(call.ID) {
+			t.Fatal("another call's answer was delivered")
+		}
+	}
+	if s.connections.Load() != 10 {
+		t.Fatalf("%d connections instead of 10", s.connections.Load())
+	}
+}
+
+// Guards against calls that go on at the backend server after their caller went
+// away or their deadline passed, and against a later call on the same connection.
+func TestCancelAndDeadlineCloseTheConnection(t *testing.T) {
+	s := startRaw(t, func(s *rawServer, _ net.Conn, in *bufio.Reader) {
+		for {
+			if _, ok := s.next(in); !ok {
+				return
+			}
+		}
+	})
+	client := newClient(t, s, nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		for s.requests.Load() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+	}()
+	answer := client.Run(ctx, newCall("POST"), soon())
+	if answer.Outcome != lagoonbarrow.OutcomeUnknown || answer.Reason != lagoonbarrow.ReasonCancelled {
+		t.Fatalf("unexpected answer %+v", answer)
+	}
+	<-s.gone
+	answer = client.Run(context.Background(), newCall("POST"), time.Now().Add(30*time.Millisecond))
+	if answer.Outcome != lagoonbarrow.OutcomeUnknown || answer.Reason != lagoonbarrow.ReasonDeadline {
+		t.Fatalf("unexpected answer %+v", answer)
+	}
+	<-s.gone
+	if s.connections.Load() != 2 || s.requests.Load() != 2 {
+		t.Fatalf("%d requests on %d connections", s.requests.Load(), s.connections.Load())
+	}
+}
+
+// Guards against a call that is sent although it was too late or nobody listens,
+// and against an outcome other than "not run" for it.
+func TestCallsThatAreNotSent(t *testing.T) {
+	s := startRaw(t, answering(wholeAnswer, false))
+	client := newClient(t, s, nil)
+	answer := client.Run(context.Background(), newCall("POST"), time.Now().Add(-time.Second))
+	if answer.Outcome != lagoonbarrow.OutcomeNotRun || answer.Reason != lagoonbarrow.ReasonDeadline {
+		t.Fatalf("unexpected answer %+v", answer)
+	}
+	cancelled, cancel := context.WithCancel(context.Background())
+	cancel()
+	answer = client.Run(cancelled, newCall("POST"), soon())
+	if answer.Outcome != lagoonbarrow.OutcomeNotRun || answer.Reason != lagoonbarrow.ReasonCancelled {
+		t.Fatalf("unexpected answer %+v", answer)
+	}
+	for _, path := range []string{"", "x", "/a b", "/a\r\nX: y"} {
+		call := newCall("POST")
+		call.Path = path
+		answer = client.Run(context.Background(), call, soon())
+		if answer.Outcome != lagoonbarrow.OutcomeNotRun || answer.Status != http.StatusBadRequest {
+			t.Fatalf("path %q: unexpected answer %+v", path, answer)
+		}
+	}
+	if s.requests.Load() != 0 {
+		t.Fatal("a call was sent")
+	}
+	_ = s.listener.Close()
+	answer = client.Run(context.Background(), newCall("POST"), soon())
+	if answer.Outcome != lagoonbarrow.OutcomeNotRun || answer.Reason != lagoonbarrow.ReasonBackend {
+		t.Fatalf("unexpected answer %+v", answer)
+	}
+}
+
+// Guards against more connections than the backend server allows.
+func TestConnectionsAreBounded(t *testing.T) {
+	release := make(chan struct{})
+	s := startRaw(t, func(s *rawServer, c net.Conn, in *bufio.Reader) {
+		for {
+			if _, ok := s.next(in); !ok {
+				return
+			}
+			<-release
+			_, _ = c.Write([]byte(wholeAnswer))
+		}
+	})
+	client := newClient(t, s, func(config *Config) { config.Connections = 2 })
+	results := make(chan *lagoonbarrow.Answer, 6)
+	for range 6 {
+		go func() { results <- client.Run(context.Background(), newCall("GET"), soon()) }()
+	}
+	for s.requests.Load() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	answer := client.Run(context.Background(), newCall("GET"), time.Now().Add(20*time.Millisecond))
+	if answer.Outcome != lagoonbarrow.OutcomeNotRun || answer.Reason != lagoonbarrow.ReasonDeadline {
+		t.Fatalf("unexpected answer %+v", answer)
+	}
+	close(release)
+	for range 6 {
+		if answer := <-results; answer.Outcome != lagoonbarrow.OutcomeDone {
+			t.Fatalf("unexpected answer %+v", answer)
+		}
+	}
+	if s.connections.Load() != 2 {
+		t.Fatalf("%d connections instead of 2", s.connections.Load())
+	}
+}
+
+// Guards against headers of one connection or of the node's own that are passed on,
+// and against a path whose encoding changes on the way.
+func TestHeadersAndPath(t *testing.T) {
+	received := make(chan *http.Request, 1)
+	s := startRaw(t, func(s *rawServer, c net.Conn, in *bufio.Reader) {
+		request, ok := s.next(in)
+		if !ok {
+			return
+		}
+		received <- request
+		_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nKeep-Alive: 1\r\nConnection: close, X-Hop\r\nX-Hop: 1\r\nX-Kept: a\r\nX-Kept: b\r\nLagoonbarrow-Reason: x\r\n\r\n"))
+	})
+	client := newClient(t, s, nil)
+	call := newCall("POST")
+	for _, field := range []string{"Connection: X-Once", "X-Once: 1", "TE: trailers", "Host: other", "Lagoonbarrow-Priority: 255", "X-Two: a", "X-Two: b", "content-type: text/x"} {
+		name, value, _ := strings.Cut(field, ": ")
+		call.Header = append(call.Header, lagoonbarrow.HeaderField{
+			Name:  name,
+			Value: value,
+		})
+	}
+	answer := client.Run(context.Background(), call, soon())
+	request := <-received
+	header := request.Header
+	if header.Get("X-Once") != "" || header.Get("TE") != "" || request.Host != s.listener.Addr().String() {
+		t.Fatalf("unexpected headers %v", header)
+	}
+	if header.Get(lagoonbarrow.HeaderPriority) != "200" || header.Get(lagoonbarrow.HeaderCall) != string(call.ID) || header.Get(lagoonbarrow.HeaderRequest) != "r1" || header.Get(lagoonbarrow.HeaderDeadline) == "" {
+		t.Fatalf("unexpected headers %v", header)
+	}
+	if strings.Join(header["X-Two"], ",") != "a,b" || header.Get("Content-Type") != "text/x" || request.RequestURI != call.Path {
+		t.Fatalf("unexpected request %s %v", request.RequestURI, header)
+	}
+	var names []string
+	for _, field := range answer.Header {
+		names = append(names, field.Name+"="+field.Value)
+	}
+	if strings.Join(names, " ") != "X-Kept=a X-Kept=b" {
+		t.Fatalf("unexpected answer headers %v", names)
+	}
+}
+
+// Guards against a probe that calls a failing or silent backend server healthy.
+func TestProbe(t *testing.T) {
+	healthy := startRaw(t, answering(wholeAnswer, true))
+	if err := newClient(t, healthy, nil).Probe(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	failing := startRaw(t, answering("HTTP/1.1 503 E\r\nContent-Length: 0\r\n\r\n", true))
+	if err := newClient(t, failing, nil).Probe(context.Background()); err == nil {
+		t.Fatal("a failing backend server is healthy")
+	}
+	silent := startRaw(t, func(s *rawServer, _ net.Conn, in *bufio.Reader) {
+		s.next(in)
+		s.next(in)
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	if err := newClient(t, silent, nil).Probe(ctx); err == nil {
+		t.Fatal("a silent backend server is healthy")
+	}
+}
