--- a/internal/standin/command/command.go
+++ b/internal/standin/command/command.go
@@ -99,10 +99,10 @@
 				Name:  "long-service-time",
 				Usage: "mean `TIME` of a request for an archive",
 			},
-			&cli.Float64Flag{
-				Name:  "spread",
-				Usage: "spread of service times around the mean, 0 to 1",
-				Value: 0.5,
+			&cli.StringFlag{
+				Name:  "distribution",
+				Usage: "`NAME` of the distribution of service times: fixed, uniform or exponential",
+				Value: string(backend.DistributionUniform),
 			},
 			&cli.DurationFlag{
 				Name:  "cold-start",
@@ -127,17 +127,17 @@
 
 func runBackend(flags *cli.Context) error {
 	server, err := backend.New(backend.Config{
-		Service:           lagoonbarrow.ServiceName(flags.String("service")),
-		Address:           lagoonbarrow.Address(flags.String("address")),
-		Node:              lagoonbarrow.Address(flags.String("node")),
-		Slots:             flags.Int("slots"),
-		ServiceTime:       flags.Duration("service-time"),
-		LongServiceTime:   flags.Duration("long-service-time"),
-		ServiceTimeSpread: flags.Float64("spread"),
-		ColdStart:         flags.Duration("cold-start"),
-		Downstream:        services(flags.String("downstream")),
-		Retries:           flags.Int("retries"),
-		Seed:              flags.Uint64("seed"),
+		Service:         lagoonbarrow.ServiceName(flags.String("service")),
+		Address:         lagoonbarrow.Address(flags.String("address")),
+		Node:            lagoonbarrow.Address(flags.String("node")),
+		Slots:           flags.Int("slots"),
+		ServiceTime:     flags.Duration("service-time"),
+		LongServiceTime: flags.Duration("long-service-time"),
+		Distribution:    backend.Distribution(flags.String("distribution")),
+		ColdStart:       flags.Duration("cold-start"),
+		Downstream:      services(flags.String("downstream")),
+		Retries:         flags.Int("retries"),
+		Seed:            flags.Uint64("seed"),
 	})
 	if err != nil {
 		return err
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -57,6 +57,7 @@
 admin-address = 127.0.0.1:$(($3 + 3))
 [backend]
 address = 127.0.0.1:$(($3 + 4))
+health-path = /health
 slots = $4
 connections = $5
 [platform]
