Test the administration API and correct its edges

The status answer called a loaded node not ready until a confirmation had been counted, a settled claim was recorded twice (by the API and by the claims), and a lost answer to a read was reported as an unknown outcome of a change. Takes readiness from the registry, leaves the event to the claims, maps lost reads to 'unavailable', bounds the roll-out queue, and adds tests of credentials, status codes, roll-out, claims and filters.

--- /dev/null
+++ b/internal/process/admin/admin_test.go
@@ -0,0 +1,400 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"lagoonbarrow"
+	"lagoonbarrow/internal/version/contract"
+	"lagoonbarrow/pkg/event"
+)
+
+const (
+	readToken   = "reader"
+	changeToken = "changer"
+)
+
+// fakeStore returns fixed results and keeps what it was asked for.
+type fakeStore struct {
+	lagoonbarrow.ContractStore
+	record   lagoonbarrow.ContractRecord
+	err      error
+	expected lagoonbarrow.ContractVersion
+	applied  lagoonbarrow.Contract
+}
+
+func (s *fakeStore) Apply(_ context.Context, wanted lagoonbarrow.Contract, expected lagoonbarrow.ContractVersion) (lagoonbarrow.ContractRecord, error) {
+	s.applied = wanted
+	s.expected = expected
+	return s.record, s.err
+}
+
+func (s *fakeStore) Retire(_ context.Context, _ lagoonbarrow.CustomerID, expected lagoonbarrow.ContractVersion) (lagoonbarrow.ContractRecord, error) {
+	s.expected = expected
+	return s.record, s.err
+}
+
+func (s *fakeStore) Get(context.Context, lagoonbarrow.CustomerID) (lagoonbarrow.ContractRecord, error) {
+	return s.record, s.err
+}
+
+func (s *fakeStore) List(context.Context) ([]lagoonbarrow.ContractRecord, error) {
+	return nil, s.err
+}
+
+// fakeClaims keeps the last settlement.
+type fakeClaims struct {
+	lagoonbarrow.Claims
+	claim lagoonbarrow.Claim
+	err   error
+	ran   bool
+}
+
+func (c *fakeClaims) Lookup(_ context.Context, customer lagoonbarrow.CustomerID, key string) (lagoonbarrow.Claim, error) {
+	claim := c.claim
+	claim.Customer = customer
+	claim.Key = key
+	return claim, c.err
+}
+
+func (c *fakeClaims) Settle(_ context.Context, _ lagoonbarrow.CustomerID, _ string, _ lagoonbarrow.RowVersion, ran bool) (lagoonbarrow.Claim, error) {
+	c.ran = ran
+	return c.claim, c.err
+}
+
+// fakePeers is a roster whose members answer with their revision; a member
+// without one does not answer until the request is given up.
+type fakePeers struct {
+	lagoonbarrow.Roster
+	lagoonbarrow.Transport
+	revisions map[lagoonbarrow.Address]lagoonbarrow.Revision
+	live      []lagoonbarrow.Instance
+}
+
+func (p *fakePeers) Self() lagoonbarrow.Instance { return p.live[0] }
+
+func (p *fakePeers) Live() []lagoonbarrow.Instance { return p.live }
+
+func (p *fakePeers) Send(ctx context.Context, to lagoonbarrow.Address, message lagoonbarrow.Message) (lagoonbarrow.Message, error) {
+	revision, answers := p.revisions[to]
+	if !answers {
+		<-ctx.Done()
+		return lagoonbarrow.Message{}, ctx.Err()
+	}
+	registry := contract.NewRegistry(contract.RegistryConfig{})
+	registry.Load(nil, revision)
+	node := contract.NewDistributor(contract.Config{
+		Registry: registry,
+	})
+	return node.HandleMessage(ctx, "", message)
+}
+
+type exchange struct {
+	status int
+	etag   string
+	body   string
+}
+
+func startServer(t *testing.T, config Config) *Server {
+	t.Helper()
+	config.Address = "127.0.0.1:0"
+	config.ReadToken = readToken
+	config.ChangeToken = changeToken
+	server := New(config)
+	if err := server.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = server.Stop(context.Background()) })
+	return server
+}
+
+func ask(t *testing.T, server *Server, method, path, token, body string, header ...string) exchange {
+	t.Helper()
+	request, err := http.NewRequest(method, "http://"+string(server.Address())+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if token != "" {
+		request.Header.Set("Authorization", "Bearer "+token)
+	}
+	for index := 0; index+1 < len(header); index += 2 {
+		request.Header.Set(header[index], header[index+1])
+	}
+	client := &http.Client{
+		Transport: &http.Transport{
+			DisableKeepAlives: true,
+		},
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return exchange{
+		status: response.StatusCode,
+		etag:   response.Header.Get("ETag"),
+		body:   string(text),
+	}
+}
+
+// Guards against a resource that is open without a credential, or a change
+// that the read credential allows.
+func TestCredentials(t *testing.T) {
+	server := startServer(t, Config{
+		Store:  &fakeStore{},
+		Claims: &fakeClaims{},
+	})
+	disabled := New(Config{})
+	if disabled.accessOf("Bearer ") != accessOpen || disabled.accessOf("") != accessOpen {
+		t.Error("an empty credential is accepted")
+	}
+	cases := []struct {
+		method string
+		path   string
+		token  string
+		want   int
+	}{
+		{"GET", "/healthz", "", 200},
+		{"GET", "/readyz", "", 200},
+		{"GET", "/v1/contracts", "", 401},
+		{"GET", "/v1/contracts", "read", 401},
+		{"GET", "/v1/contracts", readToken, 200},
+		{"GET", "/v1/contracts", changeToken, 200},
+		{"GET", "/v1/status", "", 401},
+		{"GET", "/v1/members", "", 401},
+		{"GET", "/v1/events", "", 401},
+		{"GET", "/v1/contracts/a", "", 401},
+		{"GET", "/v1/contracts/a/rollout", "", 401},
+		{"GET", "/v1/claims/a/k", "", 401},
+		{"PUT", "/v1/contracts/a", readToken, 403},
+		{"DELETE", "/v1/contracts/a", readToken, 403},
+		{"POST", "/v1/claims/a/k", readToken, 403},
+		{"POST", "/v1/contracts/a", changeToken, 405},
+		{"GET", "/v1/other", changeToken, 404},
+	}
+	for _, test := range cases {
+		if got := ask(t, server, test.method, test.path, test.token, ""); got.status != test.want {
+			t.Errorf("%s %s with %q: got %d, want %d", test.method, test.path, test.token, got.status, test.want)
+		}
+	}
+}
+
+const contractText = `{"customer":"a","key-hashes":["2c26b46b68ffc68ff99b453c1d30413413422d706483bfa0f98a5e886266e7ae"],
+"work-units-per-second":1,"burst-work-units":1,"classes":[{"name":"x","path-prefix":"/","importance":"normal","work-units":1}]}`
+
+// Guards against an operator being told the wrong outcome of a change.
+func TestContractChanges(t *testing.T) {
+	present := lagoonbarrow.ContractRecord{
+		Customer: "a",
+		Version:  7,
+		Revision: 9,
+	}
+	cases := []struct {
+		name   string
+		method string
+		body   string
+		header []string
+		err    error
+		status int
+		text   string
+		etag   string
+	}{
+		{"created", "PUT", contractText, []string{"If-None-Match", "*"}, nil, 201, `"version":7`, `"7"`},
+		{"changed", "PUT", contractText, []string{"If-Match", `"6"`}, nil, 200, `"version":7`, `"7"`},
+		{"retired", "DELETE", "", []string{"If-Match", `"6"`}, nil, 200, `"version":7`, `"7"`},
+		{"created concurrently", "PUT", contractText, []string{"If-None-Match", "*"}, lagoonbarrow.ErrConflict, 409, `"current":{"customer":"a"`, `"7"`},
+		{"changed concurrently", "PUT", contractText, []string{"If-Match", `"6"`}, lagoonbarrow.ErrConflict, 412, `"current-version":7`, `"7"`},
+		{"platform down", "PUT", contractText, []string{"If-Match", `"6"`}, lagoonbarrow.ErrUnavailable, 503, "unavailable", ""},
+		{"not settled", "PUT", contractText, []string{"If-Match", `"6"`}, lagoonbarrow.ErrOutcomeUnknown, 504, "outcome unknown", ""},
+		{"unknown customer", "DELETE", "", []string{"If-Match", `"6"`}, lagoonbarrow.ErrNotFound, 404, "not found", ""},
+		{"no precondition", "PUT", contractText, nil, nil, 428, "If-Match", ""},
+		{"two preconditions", "PUT", contractText, []string{"If-Match", `"6"`, "If-None-Match", "*"}, nil, 400, "exclude", ""},
+		{"any version", "PUT", contractText, []string{"If-Match", "*"}, nil, 400, "malformed precondition", ""},
+		{"version 0", "DELETE", "", []string{"If-Match", `"0"`}, nil, 400, "malformed precondition", ""},
+		{"delete without version", "DELETE", "", []string{"If-None-Match", "*"}, nil, 400, "malformed precondition", ""},
+		{"other customer", "PUT", strings.Replace(contractText, `"a"`, `"b"`, 1), []string{"If-None-Match", "*"}, nil, 400, "differs", ""},
+		{"faults", "PUT", `{"customer":"a/b"}`, []string{"If-None-Match", "*"}, nil, 400, `"faults":["customer`, ""},
+		{"oversized", "PUT", strings.Repeat(" ", contract.MaxContractBytes+1), []string{"If-None-Match", "*"}, nil, 413, "too large", ""},
+	}
+	for _, test := range cases {
+		store := &fakeStore{
+			record: present,
+			err:    test.err,
+		}
+		server := startServer(t, Config{
+			Store: store,
+		})
+		got := ask(t, server, test.method, "/v1/contracts/a", changeToken, test.body, test.header...)
+		if got.status != test.status || !strings.Contains(got.body, test.text) || got.etag != test.etag {
+			t.Errorf("%s: got %d, ETag %s: %s", test.name, got.status, got.etag, got.body)
+		}
+		if test.name == "changed" && (store.expected != 6 || store.applied.Customer != "a") {
+			t.Errorf("%s: asked for version %d of %q", test.name, store.expected, store.applied.Customer)
+		}
+	}
+}
+
+// Guards against a roll-out that is reported as complete while a node is
+// behind, not loaded, or silent.
+func TestRollout(t *testing.T) {
+	peers := &fakePeers{
+		revisions: map[lagoonbarrow.Address]lagoonbarrow.Revision{
+			"p1": 9,
+			"p2": 8,
+		},
+	}
+	for _, name := range []string{"self", "p1", "p2", "p3"} {
+		peers.live = append(peers.live, lagoonbarrow.Instance{
+			ID:   lagoonbarrow.InstanceID(name),
+			Peer: lagoonbarrow.Address(name),
+		})
+	}
+	registry := contract.NewRegistry(contract.RegistryConfig{})
+	registry.Load(nil, 9)
+	server := startServer(t, Config{
+		Store: &fakeStore{
+			record: lagoonbarrow.ContractRecord{
+				Customer: "a",
+				Version:  7,
+				Revision: 9,
+			},
+		},
+		Contracts:   registry,
+		Roster:      peers,
+		Transport:   peers,
+		NodeTimeout: 50 * time.Millisecond,
+	})
+	var got Rollout
+	if err := json.Unmarshal([]byte(ask(t, server, "GET", "/v1/contracts/a/rollout", readToken, "").body), &got); err != nil {
+		t.Fatal(err)
+	}
+	if got.Live != 4 || got.InForce != 2 || got.Everywhere || got.BehindCount != 1 || got.NoAnswerCount != 1 {
+		t.Fatalf("got %+v", got)
+	}
+	if got.Behind[0].Instance != "p2" || got.NoAnswer[0].Instance != "p3" {
+		t.Fatalf("got %+v", got)
+	}
+}
+
+// Guards against a claim that is settled by accident or under another key, and
+// against answers of customers shown to operators.
+func TestClaims(t *testing.T) {
+	claims := &fakeClaims{
+		claim: lagoonbarrow.Claim{
+			Version: 3,
+			State:   lagoonbarrow.ClaimHeld,
+			Answer: &lagoonbarrow.Answer{
+				Status: 201,
+				Body:   []byte("secret"),
+			},
+		},
+	}
+	server := startServer(t, Config{
+		Claims: claims,
+	})
+	got := ask(t, server, "GET", "/v1/claims/a/order%2F1", readToken, "")
+	if got.status != 200 || !strings.Contains(got.body, `"key":"order/1"`) || strings.Contains(got.body, "secret") {
+		t.Errorf("got %d %s", got.status, got.body)
+	}
+	cases := []struct {
+		body   string
+		err    error
+		status int
+	}{
+		{`{"expected":3,"ran":true}`, nil, 200},
+		{`{"expected":3}`, nil, 400},
+		{`{"ran":true}`, nil, 400},
+		{`{"expected":3,"ran":true,"other":1}`, nil, 400},
+		{`{"expected":3,"ran":true}`, lagoonbarrow.ErrClaimed, 409},
+		{`{"expected":3,"ran":true}`, lagoonbarrow.ErrConflict, 412},
+		{`{"expected":3,"ran":true}`, lagoonbarrow.ErrOutcomeUnknown, 504},
+	}
+	for _, test := range cases {
+		claims.err = test.err
+		claims.ran = false
+		got := ask(t, server, "POST", "/v1/claims/a/k", changeToken, test.body)
+		if got.status != test.status || claims.ran != (test.status != 400) {
+			t.Errorf("%s, %v: got %d %s", test.body, test.err, got.status, got.body)
+		}
+	}
+}
+
+// Guards against filters that are ignored when they are malformed.
+func TestEvents(t *testing.T) {
+	var asked EventFilter
+	server := startServer(t, Config{
+		Events: func(filter EventFilter) []event.Event {
+			asked = filter
+			return make([]event.Event, 5)
+		},
+		Ready: func() error { return errors.New("the node is starting") },
+	})
+	got := ask(t, server, "GET", "/v1/events?request=r&customer=c&contract-version=4&since=2026-01-02T03:04:05Z&limit=2", readToken, "")
+	if got.status != 200 || strings.Count(got.body, `"number"`) != 2 {
+		t.Errorf("got %d %s", got.status, got.body)
+	}
+	want := EventFilter{
+		Request:         "r",
+		Customer:        "c",
+		ContractVersion: 4,
+		Since:           time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC),
+		Limit:           2,
+	}
+	if asked != want {
+		t.Errorf("asked for %+v", asked)
+	}
+	for _, query := range []string{"contract-version=x", "since=yesterday", "limit=-1"} {
+		if got := ask(t, server, "GET", "/v1/events?"+query, readToken, ""); got.status != 400 {
+			t.Errorf("%s: got %d", query, got.status)
+		}
+	}
+	if got := ask(t, server, "GET", "/readyz", "", ""); got.status != 503 || !strings.Contains(got.body, "starting") {
+		t.Errorf("readyz: got %d %s", got.status, got.body)
+	}
+}
+
+// Guards against goroutines and listeners that outlive Stop.
+func TestStop(t *testing.T) {
+	// fasthttp's worker pool ends this goroutine when its sleep is over.
+	janitor := goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*workerPool).Start.func2")
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent(), janitor)
+	server := New(Config{
+		Address: "127.0.0.1:0",
+	})
+	if err := server.Start(); err != nil {
+		t.Fatal(err)
+	}
+	if got := ask(t, server, "GET", "/healthz", "", ""); got.status != 200 {
+		t.Errorf("got %d", got.status)
+	}
+	if err := server.Stop(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a settlement whose meaning is guessed from a malformed body.
+func FuzzDecodeSettle(f *testing.F) {
+	f.Add([]byte(`{"expected":3,"ran":true}`))
+	f.Add([]byte(`{"expected":null,"ran":false}{}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		request, err := decodeSettle(text)
+		if err == nil && (request.Expected == nil || request.Ran == nil) {
+			t.Fatal("a field is missing")
+		}
+		if err != nil && !errors.Is(err, lagoonbarrow.ErrInvalid) {
+			t.Fatalf("unexpected error %v", err)
+		}
+	})
+}
--- a/internal/process/admin/claims.go
+++ b/internal/process/admin/claims.go
@@ -11,7 +11,6 @@
 
 	"lagoonbarrow"
 	"lagoonbarrow/internal/version/contract"
-	"lagoonbarrow/pkg/event"
 )
 
 // claimView is a claim row without the stored answer's header and body, which
@@ -74,20 +73,22 @@
 	customer := lagoonbarrow.CustomerID(parameters[0])
 	claim, err := s.config.Claims.Settle(work, customer, parameters[1], *request.Expected, *request.Ran)
 	if err != nil {
-		writeFailure(ctx, err)
+		writeClaimFailure(ctx, claim, err)
 		return
 	}
-	s.recordSettled(claim)
 	writeClaim(ctx, claim)
 }
 
-func (s *Server) recordSettled(claim lagoonbarrow.Claim) {
-	if s.config.Recorder == nil {
+// writeClaimFailure adds the version of the row that stood in the way.
+func writeClaimFailure(ctx *fasthttp.RequestCtx, claim lagoonbarrow.Claim, err error) {
+	if claim.Version == 0 {
+		writeFailure(ctx, err)
 		return
 	}
-	s.config.Recorder.Record(event.ClaimSettled, event.Fields{
-		Customer: string(claim.Customer),
-		Detail:   "key " + claim.Key + " " + string(claim.State),
+	setETag(ctx, uint64(claim.Version))
+	writeJSON(ctx, statusOf(err), errorBody{
+		Error:          err.Error(),
+		CurrentVersion: uint64(claim.Version),
 	})
 }
 
--- a/internal/process/admin/config.go
+++ b/internal/process/admin/config.go
@@ -16,6 +16,8 @@
 	DefaultRequestTimeout = 10 * time.Second
 	DefaultNodeTimeout    = time.Second
 	DefaultRolloutWorkers = 64
+	// rolloutQueue bounds the nodes that wait to be asked, over all requests.
+	rolloutQueue = 1024
 )
 
 // Config holds what a Server needs.
@@ -40,7 +42,8 @@
 	// Healthy and Ready return why the node is not; nil functions mean that it is.
 	Healthy func() error
 	Ready   func() error
-	// Recorder takes an event for each settled claim; nil for none.
+	// Recorder is unused, because Claims records settled claims itself. It is to
+	// be removed together with its last use in package node.
 	Recorder lagoonbarrow.Recorder
 	// Logger may be nil.
 	Logger hclog.Logger
--- a/internal/process/admin/server.go
+++ b/internal/process/admin/server.go
@@ -38,7 +38,7 @@
 		served: make(chan struct{}),
 	}
 	admin.table = admin.routes()
-	admin.pool = pond.NewPool(admin.config.RolloutWorkers)
+	admin.pool = pond.NewPool(admin.config.RolloutWorkers, pond.WithQueueSize(rolloutQueue))
 	admin.server = &fasthttp.Server{
 		Handler:               admin.handle,
 		ErrorHandler:          writeParseError,
--- a/internal/version/contract/change.go
+++ b/internal/version/contract/change.go
@@ -94,7 +94,7 @@
 		return next, nil
 	case errors.Is(err, lagoonbarrow.ErrConflict):
 		return lagoonbarrow.ContractRecord{}, errAgain
-	case errors.Is(err, lagoonbarrow.ErrUnavailable):
+	case errors.Is(err, lagoonbarrow.ErrUnavailable), errors.Is(err, lagoonbarrow.ErrInvalid):
 		return lagoonbarrow.ContractRecord{}, change.failed(err)
 	default:
 		// Any other error leaves open whether the transaction took effect.
--- a/internal/version/contract/push.go
+++ b/internal/version/contract/push.go
@@ -83,10 +83,10 @@
 
 // Status tells which contracts are in force on this node.
 func (d *Distributor) Status() Status {
-	revision, age, known := d.Gossip()
+	revision, age, _ := d.Gossip()
 	return Status{
 		Revision: revision,
-		Ready:    known,
+		Ready:    d.config.Registry.Ready(),
 		Age:      age.Round(time.Millisecond),
 	}
 }
--- a/internal/version/contract/store.go
+++ b/internal/version/contract/store.go
@@ -73,7 +73,7 @@
 func (s *Store) Get(ctx context.Context, customer lagoonbarrow.CustomerID) (lagoonbarrow.ContractRecord, error) {
 	row, err := s.config.Table.Get(ctx, tableContracts, string(customer))
 	if err != nil {
-		return lagoonbarrow.ContractRecord{}, errors.Wrap(err, "contract: get")
+		return lagoonbarrow.ContractRecord{}, readFailure(err)
 	}
 	return decodeRecord(row)
 }
@@ -81,7 +81,19 @@
 // List returns the present records of all customers, retired ones included,
 // in the order of their ids.
 func (s *Store) List(ctx context.Context) ([]lagoonbarrow.ContractRecord, error) {
-	return scanContracts(ctx, s.config.Table, DefaultRequestTimeout)
+	records, err := scanContracts(ctx, s.config.Table, DefaultRequestTimeout)
+	if err != nil {
+		return nil, readFailure(err)
+	}
+	return records, nil
+}
+
+// readFailure keeps a lost answer to a read from looking like a lost change.
+func readFailure(err error) error {
+	if errors.Is(err, lagoonbarrow.ErrOutcomeUnknown) {
+		return errors.Wrapf(lagoonbarrow.ErrUnavailable, "contract: read: %v", err)
+	}
+	return errors.Wrap(err, "contract: read")
 }
 
 // change makes attempts until one has a definite result or the context ends.
