Test damaged, reordered and late frames between nodes

Each change of a correct answer must give ErrAnswerLost, and incomplete calls must not start. The decoder's buffer is dropped when a connection becomes idle, and challenges have 16 bytes, which is enough and keeps probes cheap.

--- /dev/null
+++ b/internal/connection/frame/frame_test.go
@@ -0,0 +1,182 @@
+package frame
+
+import (
+	"bytes"
+	"encoding/binary"
+	"hash/crc32"
+	"io"
+	"runtime"
+	"strings"
+	"testing"
+
+	"github.com/pkg/errors"
+
+	"lagoonbarrow"
+)
+
+type sample struct {
+	Name   string                     `msgpack:"name"`
+	Data   []byte                     `msgpack:"data,omitempty"`
+	Fields []lagoonbarrow.HeaderField `msgpack:"fields,omitempty"`
+}
+
+// framed puts a valid header before a body.
+func framed(body []byte) []byte {
+	raw := binary.BigEndian.AppendUint32(nil, uint32(len(body)))
+	raw = binary.BigEndian.AppendUint32(raw, crc32.Checksum(body, castagnoli))
+	return append(raw, body...)
+}
+
+func encoded(t testing.TB, value any) []byte {
+	t.Helper()
+	var out bytes.Buffer
+	if err := NewWriter(&out, 0).Write(value); err != nil {
+		t.Fatal(err)
+	}
+	return out.Bytes()
+}
+
+// Guards against buffers that are shared between frames, so that a later frame
+// changes an earlier value.
+func TestValuesSurviveLaterFrames(t *testing.T) {
+	var stream bytes.Buffer
+	writer := NewWriter(&stream, 0)
+	names := []string{"a", strings.Repeat("b", 10000), "", "c"}
+	for _, name := range names {
+		value := sample{
+			Name: name,
+			Data: []byte(name),
+		}
+		if err := writer.Write(value); err != nil {
+			t.Fatal(err)
+		}
+	}
+	reader := NewReader(&stream, 0)
+	values := make([]sample, len(names))
+	for i := range values {
+		if err := reader.Read(&values[i]); err != nil {
+			t.Fatal(err)
+		}
+		reader.Release()
+	}
+	for i, name := range names {
+		if values[i].Name != name || string(values[i].Data) != name {
+			t.Fatalf("frame %d changed", i)
+		}
+	}
+	if err := reader.Read(&sample{}); err != io.EOF {
+		t.Fatalf("end of stream: %v", err)
+	}
+}
+
+// Guards against a damaged or cut frame that is taken for a value.
+func TestDamageIsNoticed(t *testing.T) {
+	raw := encoded(t, sample{Name: "minutes"})
+	for i := range raw {
+		damaged := bytes.Clone(raw)
+		damaged[i] ^= 0x10
+		err := NewReader(bytes.NewReader(damaged), 0).Read(&sample{})
+		if !errors.Is(err, lagoonbarrow.ErrFrame) && !errors.Is(err, lagoonbarrow.ErrTooLarge) {
+			t.Errorf("byte %d damaged: %v", i, err)
+		}
+		if i == 0 {
+			continue
+		}
+		err = NewReader(bytes.NewReader(raw[:i]), 0).Read(&sample{})
+		if !errors.Is(err, lagoonbarrow.ErrFrame) {
+			t.Errorf("cut after byte %d: %v", i, err)
+		}
+	}
+}
+
+// Guards against bytes that follow the value in a frame, and bodies that are not
+// msgpack or nest without end.
+func TestBodiesThatAreNotOneValue(t *testing.T) {
+	bodies := [][]byte{
+		{},
+		{0xc1},
+		{0x80, 0x80},
+		bytes.Repeat([]byte{0x91}, DefaultBytes),
+		{0x81, 0xa4, 'n', 'a', 'm', 'e', 0x91, 0x01},
+	}
+	for i, body := range bodies {
+		err := NewReader(bytes.NewReader(framed(body)), 0).Read(&sample{})
+		if !errors.Is(err, lagoonbarrow.ErrFrame) {
+			t.Errorf("body %d: %v", i, err)
+		}
+	}
+}
+
+// Guards against frames over the limit in either direction, and against a refused
+// frame that takes the frames before it along.
+func TestLimit(t *testing.T) {
+	var stream bytes.Buffer
+	writer := NewWriter(&stream, 100)
+	if err := writer.Append(sample{Name: "kept"}); err != nil {
+		t.Fatal(err)
+	}
+	if err := writer.Append(sample{Name: strings.Repeat("x", 100)}); !errors.Is(err, lagoonbarrow.ErrTooLarge) {
+		t.Fatalf("a large frame was written: %v", err)
+	}
+	if _, err := writer.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	stream.Write(encoded(t, sample{Name: strings.Repeat("x", 100)}))
+	reader := NewReader(&stream, 100)
+	var value sample
+	if err := reader.Read(&value); err != nil || value.Name != "kept" {
+		t.Fatalf("the frame before was lost: %v", err)
+	}
+	if err := reader.Read(&value); !errors.Is(err, lagoonbarrow.ErrTooLarge) {
+		t.Fatalf("a large frame was read: %v", err)
+	}
+}
+
+// Guards against a short frame whose declared lengths make the decoder allocate
+// gigabytes.
+func TestDeclaredLengthsDoNotAllocate(t *testing.T) {
+	huge := []byte{0xff, 0xff, 0xff, 0xf0}
+	bodies := [][]byte{
+		append([]byte{0x81, 0xa6, 'f', 'i', 'e', 'l', 'd', 's', 0xdd}, huge...),
+		append([]byte{0x81, 0xa4, 'd', 'a', 't', 'a', 0xc6}, huge...),
+		append([]byte{0x81, 0xa4, 'n', 'a', 'm', 'e', 0xdb}, huge...),
+		append([]byte{0xdf}, huge...),
+	}
+	for i, body := range bodies {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		err := NewReader(bytes.NewReader(framed(body)), 0).Read(&sample{})
+		runtime.ReadMemStats(&after)
+		if !errors.Is(err, lagoonbarrow.ErrFrame) {
+			t.Errorf("body %d: %v", i, err)
+		}
+		if grown := after.TotalAlloc - before.TotalAlloc; grown > 8<<20 {
+			t.Errorf("body %d: %d bytes were allocated", i, grown)
+		}
+	}
+}
+
+// Guards against input that makes the reader panic, run on, or accept a value that
+// changes when it is written again.
+func FuzzReader(f *testing.F) {
+	f.Add(encoded(f, sample{Name: "minutes", Data: []byte{1, 2}}))
+	f.Add(framed([]byte{0x81, 0xa6, 'f', 'i', 'e', 'l', 'd', 's', 0x91, 0x80}))
+	f.Add([]byte{0, 0, 0, 1, 0, 0, 0, 0, 0xc0})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		for _, stream := range [][]byte{raw, framed(raw)} {
+			reader := NewReader(bytes.NewReader(stream), 1<<16)
+			for {
+				var value, again sample
+				if err := reader.Read(&value); err != nil {
+					break
+				}
+				if err := NewReader(bytes.NewReader(encoded(t, value)), 0).Read(&again); err != nil {
+					t.Fatal(err)
+				}
+				if value.Name != again.Name || !bytes.Equal(value.Data, again.Data) || len(value.Fields) != len(again.Fields) {
+					t.Fatal("the value changed")
+				}
+			}
+		}
+	})
+}
--- a/internal/connection/frame/reader.go
+++ b/internal/connection/frame/reader.go
@@ -116,9 +116,12 @@
 
 // Release drops a large buffer. Connections call it when they become idle.
 func (r *Reader) Release() {
-	if cap(r.body) > keepBytes {
-		r.body = nil
+	if cap(r.body) <= keepBytes {
+		return
 	}
+	r.body = nil
+	// The decoder keeps a buffer of the longest string that it skipped.
+	r.decoder = msgpack.NewDecoder(&r.source)
 }
 
 // cut turns an end of the stream within a frame into ErrFrame.
--- /dev/null
+++ b/internal/connection/peer/answer_test.go
@@ -0,0 +1,229 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lagoonbarrow"
+	"lagoonbarrow/pkg/event"
+)
+
+// answerFor returns the packets of a correct answer with a body frame.
+func answerFor(call *lagoonbarrow.Call, body []byte) []*packet {
+	id := string(call.ID)
+	head := &answer{
+		BodyBytes: len(body),
+	}
+	head.Call = call.ID
+	head.Outcome = lagoonbarrow.OutcomeDone
+	data := &chunk{
+		ID:   id,
+		Data: body,
+	}
+	return []*packet{{Answer: head}, {Body: data}, {End: endOf(id, body)}}
+}
+
+// Guards against the delivery of anything but the whole answer to the call that was
+// made: each change of a correct answer must give ErrAnswerLost and an event.
+func TestWrongAnswersAreLost(t *testing.T) {
+	other := newCall(nil)
+	rows := []struct {
+		name   string
+		change func(packets []*packet) []*packet
+	}{
+		{"other call's answer", func([]*packet) []*packet { return answerFor(other, []byte("other")) }},
+		{"other call's body", func(p []*packet) []*packet { p[1].Body.ID = string(other.ID); return p }},
+		{"other call's end", func(p []*packet) []*packet { p[2].End.ID = string(other.ID); return p }},
+		{"head of one, rest of another", func(p []*packet) []*packet { return append(p[:1], answerFor(other, []byte("12345"))[1:]...) }},
+		{"changed body", func(p []*packet) []*packet { p[1].Body.Data = []byte("54321"); return p }},
+		{"short body", func(p []*packet) []*packet { p[1].Body.Data = []byte("1234"); return p }},
+		{"long body", func(p []*packet) []*packet { p[1].Body.Data = []byte("123456"); return p }},
+		{"empty body frame", func(p []*packet) []*packet { p[1].Body.Data = nil; return p }},
+		{"wrong total", func(p []*packet) []*packet { p[2].End.Total++; return p }},
+		{"wrong checksum", func(p []*packet) []*packet { p[2].End.Checksum++; return p }},
+		{"missing body", func(p []*packet) []*packet { return []*packet{p[0], p[2]} }},
+		{"missing end", func(p []*packet) []*packet { return []*packet{p[0], p[1], p[0]} }},
+		{"end first", func(p []*packet) []*packet { return []*packet{p[2], p[0], p[1]} }},
+		{"body before head", func(p []*packet) []*packet { return []*packet{p[1], p[0], p[2]} }},
+		{"repeated body", func(p []*packet) []*packet { return []*packet{p[0], p[1], p[1], p[2]} }},
+		{"negative length", func(p []*packet) []*packet { p[0].Answer.BodyBytes = -1; return p }},
+		{"huge length", func(p []*packet) []*packet { p[0].Answer.BodyBytes = 1 << 40; return p }},
+		{"partly inline", func(p []*packet) []*packet { p[0].Answer.Body = []byte("1"); return p }},
+		{"empty packet", func([]*packet) []*packet { return []*packet{{}} }},
+		{"two kinds in one", func(p []*packet) []*packet { p[0].End = p[2].End; return p }},
+		{"reply instead", func([]*packet) []*packet { return []*packet{{Reply: &reply{}}} }},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			target := scriptedCallee(t, func(c *connection) {
+				call, err := receiveCall(c)
+				if err != nil {
+					return
+				}
+				c.append(t, row.change(answerFor(call, []byte("12345")))...)
+				c.flush(t)
+				_ = c.in.Wait()
+			})
+			events := &recorder{}
+			client := newClient(t, func(config *ClientConfig) { config.Recorder = events })
+			answer, err := client.Call(context.Background(), target, newCall(nil))
+			if answer != nil || !errors.Is(err, lagoonbarrow.ErrAnswerLost) || errors.Is(err, lagoonbarrow.ErrNotSent) {
+				t.Fatalf("unexpected result %+v %v", answer, err)
+			}
+			if events.count(event.PeerConnectionClosed) != 1 {
+				t.Fatal("there is no event")
+			}
+		})
+	}
+}
+
+// Guards against an answer that is cut, damaged or oversized on the wire.
+func TestDamagedAnswersAreLost(t *testing.T) {
+	rows := []struct {
+		name   string
+		change func(raw []byte) []byte
+	}{
+		{"cut", func(raw []byte) []byte { return raw[:len(raw)-1] }},
+		{"nothing", func([]byte) []byte { return nil }},
+		{"damaged", func(raw []byte) []byte { raw[len(raw)/2] ^= 1; return raw }},
+		{"oversized frame", func([]byte) []byte { return []byte{0x7f, 0, 0, 0, 0, 0, 0, 0} }},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			target := scriptedCallee(t, func(c *connection) {
+				call, err := receiveCall(c)
+				if err != nil {
+					return
+				}
+				var raw bytes.Buffer
+				counted := newConnection(&bufferConn{Buffer: &raw}, 0)
+				counted.append(t, answerFor(call, []byte("12345"))...)
+				counted.flush(t)
+				_, _ = c.raw.Write(row.change(raw.Bytes()))
+			})
+			answer, err := newClient(t, nil).Call(context.Background(), target, newCall(nil))
+			if answer != nil || !errors.Is(err, lagoonbarrow.ErrAnswerLost) {
+				t.Fatalf("unexpected result %+v %v", answer, err)
+			}
+		})
+	}
+}
+
+// bufferConn is a connection that writes to a buffer.
+type bufferConn struct {
+	net.Conn
+	*bytes.Buffer
+}
+
+func (c *bufferConn) Write(data []byte) (int, error) { return c.Buffer.Write(data) }
+func (c *bufferConn) Read(data []byte) (int, error)  { return c.Buffer.Read(data) }
+
+// Guards against a late frame that is taken for a part of the next call's answer,
+// and against the use of a connection that carries one.
+func TestLateFramesCloseTheConnection(t *testing.T) {
+	var connections atomic.Int64
+	target := scriptedCallee(t, func(c *connection) {
+		connections.Add(1)
+		for {
+			call, err := receiveCall(c)
+			if err != nil {
+				return
+			}
+			c.append(t, answerFor(call, []byte("12345"))...)
+			c.flush(t)
+			time.Sleep(time.Millisecond)
+			c.append(t, answerFor(call, []byte("12345"))...)
+			_, _ = c.out.Flush()
+		}
+	})
+	client := newClient(t, nil)
+	for range 50 {
+		call := newCall(nil)
+		answer, err := client.Call(context.Background(), target, call)
+		if err == nil && answer.Call != call.ID {
+			t.Fatal("another call's answer was delivered")
+		}
+		if err != nil && !errors.Is(err, lagoonbarrow.ErrAnswerLost) {
+			t.Fatal(err)
+		}
+	}
+	if connections.Load() < 2 {
+		t.Fatal("the connection was used in spite of late frames")
+	}
+}
+
+// Guards against answers that reach another caller while many calls share few
+// connections and some are cancelled half-way.
+func TestConcurrentCallersGetTheirOwnAnswers(t *testing.T) {
+	_, target := startServer(t, func(ctx context.Context, call *lagoonbarrow.Call) *lagoonbarrow.Answer {
+		if call.Path == "/slow" {
+			time.Sleep(2 * time.Millisecond)
+		}
+		return echo(ctx, call)
+	}, nil)
+	client := newClient(t, func(config *ClientConfig) { config.ConnectionsPerPeer = 8 })
+	var callers sync.WaitGroup
+	var whole atomic.Int64
+	for i := range 32 {
+		callers.Go(func() {
+			for n := range 50 {
+				body := bytes.Repeat([]byte{byte(i), byte(n)}, 1+n*400)
+				call := newCall(body)
+				timeout := 10 * time.Second
+				if n%5 == 0 {
+					call.Path = "/slow"
+					timeout = time.Duration(n) * 50 * time.Microsecond
+				}
+				ctx, cancel := context.WithTimeout(context.Background(), timeout)
+				answer, err := client.Call(ctx, target, call)
+				cancel()
+				if err == nil && (answer.Call != call.ID || !bytes.Equal(answer.Body, body)) {
+					t.Error("another call's answer was delivered")
+				}
+				if err == nil {
+					whole.Add(1)
+				}
+			}
+		})
+	}
+	callers.Wait()
+	if whole.Load() < 32*40 {
+		t.Fatalf("only %d calls were answered", whole.Load())
+	}
+}
+
+// Guards against an answer of another call by a handler that mixes calls up.
+func TestHandlerMixUpIsNotDelivered(t *testing.T) {
+	_, target := startServer(t, func(ctx context.Context, _ *lagoonbarrow.Call) *lagoonbarrow.Answer {
+		return echo(ctx, newCall([]byte("other")))
+	}, nil)
+	answer, err := newClient(t, nil).Call(context.Background(), target, newCall(nil))
+	if err != nil || answer.Outcome != lagoonbarrow.OutcomeUnknown || len(answer.Body) != 0 {
+		t.Fatalf("unexpected result %+v %v", answer, err)
+	}
+}
+
+// Guards against an answer that can't be encoded and takes its caller's tokens and
+// the connection along.
+func TestUnsendableAnswerIsUnknown(t *testing.T) {
+	_, target := startServer(t, func(ctx context.Context, call *lagoonbarrow.Call) *lagoonbarrow.Answer {
+		result := echo(ctx, call)
+		result.Header[0].Value = string(make([]byte, 300<<10))
+		result.TokensLeft = 2
+		return result
+	}, nil)
+	client := newClient(t, nil)
+	for range 2 {
+		answer, err := client.Call(context.Background(), target, newCall(nil))
+		if err != nil || answer.Outcome != lagoonbarrow.OutcomeUnknown || answer.TokensLeft != 2 {
+			t.Fatalf("unexpected result %+v %v", answer, err)
+		}
+	}
+}
--- a/internal/connection/peer/auth.go
+++ b/internal/connection/peer/auth.go
@@ -7,8 +7,9 @@
 	"encoding/binary"
 )
 
-// challengeBytes is the size of a random challenge, that of the HMAC's key space.
-const challengeBytes = 32
+// challengeBytes is the size of a random challenge. 128 bits don't repeat by
+// chance, and a short challenge keeps probes over new connections cheap.
+const challengeBytes = 16
 
 // The side that gives a proof is part of what is proven. Otherwise a peer without
 // the key could return a server's own proof to it.
--- a/internal/connection/peer/exchange.go
+++ b/internal/connection/peer/exchange.go
@@ -74,6 +74,9 @@
 	if deadline, has := ctx.Deadline(); has {
 		// Waiting for the connection has used up some of the time.
 		head.Remaining = time.Until(deadline)
+		if head.Remaining <= 0 {
+			return nil, notSent(ctx, context.DeadlineExceeded)
+		}
 	}
 	var result *lagoonbarrow.Answer
 	receive := func() error {
--- a/internal/connection/peer/peer_test.go
+++ b/internal/connection/peer/peer_test.go
@@ -7,10 +7,14 @@
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"lagoonbarrow"
 	"lagoonbarrow/pkg/event"
 )
 
+var noScope = tally.NoopScope
+
 var testKey = []byte("0123456789abcdef0123456789abcdef")
 
 // callFunc is a call handler made of a function.
