--- /dev/null
+++ b/internal/connection/peer/bench_test.go
@@ -0,0 +1,113 @@
+package peer
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/uber-go/tally/v4"
+
+	"lagoonbarrow"
+)
+
+// BenchmarkCall reports the time that a call between two peers on loopback adds, as
+// quantiles over all calls.
+func BenchmarkCall(b *testing.B) {
+	rows := []struct {
+		name string
+		size int
+	}{
+		{"1KiB", 1 << 10},
+		{"64KiB", 64 << 10},
+		{"1MiB", 1 << 20},
+	}
+	for _, row := range rows {
+		b.Run(row.name, func(b *testing.B) {
+			_, target := startServer(b, echo, nil)
+			client := newClient(b, func(config *ClientConfig) { config.SweepInterval = time.Second })
+			call := newCall(make([]byte, row.size))
+			times := hdrhistogram.New(1, int64(time.Minute), 3)
+			b.ReportAllocs()
+			for b.Loop() {
+				call.ID = lagoonbarrow.NewCallID()
+				begun := time.Now()
+				if _, err := client.Call(context.Background(), target, call); err != nil {
+					b.Fatal(err)
+				}
+				_ = times.RecordValue(int64(time.Since(begun)))
+			}
+			report(b, times)
+		})
+	}
+}
+
+// BenchmarkCallParallel is the same with more callers than processors, as on a
+// node that serves many calls.
+func BenchmarkCallParallel(b *testing.B) {
+	_, target := startServer(b, echo, nil)
+	client := newClient(b, func(config *ClientConfig) { config.SweepInterval = time.Second })
+	times := hdrhistogram.New(1, int64(time.Minute), 3)
+	samples := make(chan time.Duration, 1024)
+	collected := make(chan struct{})
+	go func() {
+		defer close(collected)
+		for sample := range samples {
+			_ = times.RecordValue(int64(sample))
+		}
+	}()
+	b.SetParallelism(4)
+	b.RunParallel(func(loop *testing.PB) {
+		for loop.Next() {
+			call := newCall(make([]byte, 1<<10))
+			begun := time.Now()
+			if _, err := client.Call(context.Background(), target, call); err != nil {
+				b.Error(err)
+				return
+			}
+			samples <- time.Since(begun)
+		}
+	})
+	close(samples)
+	<-collected
+	report(b, times)
+}
+
+func report(b *testing.B, times *hdrhistogram.Histogram) {
+	b.ReportMetric(float64(times.ValueAtQuantile(50))/1e3, "p50-µs")
+	b.ReportMetric(float64(times.ValueAtQuantile(99))/1e3, "p99-µs")
+}
+
+// BenchmarkControlMessage reports the bytes of one control message with a body of
+// 200 bytes and its reply, over a new connection and over a kept one.
+func BenchmarkControlMessage(b *testing.B) {
+	for name, kept := range map[string]int{"new-connection": -1, "kept-connection": 32} {
+		b.Run(name, func(b *testing.B) {
+			_, target := startServer(b, echo, func(config *ServerConfig) {
+				config.Messages = map[string]lagoonbarrow.MessageHandler{
+					"probe": messageFunc(func(_ context.Context, _ lagoonbarrow.InstanceID, message lagoonbarrow.Message) (lagoonbarrow.Message, error) {
+						return message, nil
+					}),
+				}
+			})
+			scope := tally.NewTestScope("", nil)
+			client := newClient(b, func(config *ClientConfig) {
+				config.Scope = scope
+				config.Advertise = target.Peer
+				config.IdleControlConnections = kept
+			})
+			message := lagoonbarrow.Message{
+				Kind: "probe",
+				Body: make([]byte, 200),
+			}
+			for b.Loop() {
+				if _, err := client.Send(context.Background(), target.Peer, message); err != nil {
+					b.Fatal(err)
+				}
+			}
+			counters := scope.Snapshot().Counters()
+			b.ReportMetric(float64(counters["control-bytes-sent+"].Value())/float64(b.N), "sent-bytes/op")
+			b.ReportMetric(float64(counters["control-bytes-received+"].Value())/float64(b.N), "received-bytes/op")
+		})
+	}
+}
--- /dev/null
+++ b/internal/connection/peer/handshake_test.go
@@ -0,0 +1,212 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lagoonbarrow"
+	"lagoonbarrow/internal/connection/frame"
+	"lagoonbarrow/pkg/event"
+)
+
+// Guards against peers with another key on either side.
+func TestOtherKeyIsRefused(t *testing.T) {
+	events := &recorder{}
+	_, target := startServer(t, echo, nil)
+	client := newClient(t, func(config *ClientConfig) {
+		config.PeerKey = []byte("other")
+		config.Recorder = events
+	})
+	_, err := client.Call(context.Background(), target, newCall(nil))
+	if !errors.Is(err, lagoonbarrow.ErrNotSent) || !errors.Is(err, lagoonbarrow.ErrUnauthenticated) {
+		t.Fatal(err)
+	}
+	if events.count(event.PeerRefused) != 1 {
+		t.Fatal("there is no event")
+	}
+}
+
+// rawHello opens a connection and sends a first packet.
+func rawHello(t *testing.T, to lagoonbarrow.Instance, first *packet) *connection {
+	t.Helper()
+	raw, err := net.Dial("tcp", string(to.Peer))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = raw.Close() })
+	_ = raw.SetDeadline(time.Now().Add(10 * time.Second))
+	c := newConnection(raw, 0)
+	c.append(t, first)
+	c.flush(t)
+	return c
+}
+
+// Guards against a caller without the key whose call is run: with an invented
+// proof, with the server's own proof returned to it, and with a proof that was
+// heard on another connection.
+func TestProofsCannotBeInventedOrRepeated(t *testing.T) {
+	events := &recorder{}
+	_, target := startServer(t, func(context.Context, *lagoonbarrow.Call) *lagoonbarrow.Answer {
+		t.Error("a call was run")
+		return nil
+	}, func(config *ServerConfig) { config.Recorder = events })
+	greeting := &hello{
+		Version:   protocolVersion,
+		Instance:  "caller",
+		Purpose:   purposeCalls,
+		Challenge: newChallenge(),
+	}
+	var heard []byte
+	choose := []func(response *challenge) []byte{
+		func(*challenge) []byte { return make([]byte, 32) },
+		func(*challenge) []byte { return nil },
+		func(response *challenge) []byte { return response.Proof },
+		func(response *challenge) []byte {
+			heard = prove(testKey, sideClient, greeting, response)
+			return nil
+		},
+		func(*challenge) []byte { return heard },
+	}
+	for i, chosen := range choose {
+		c := rawHello(t, target, &packet{Hello: greeting})
+		p, err := c.read()
+		if err != nil {
+			t.Fatal(err)
+		}
+		call := newCall(nil)
+		c.append(t, &packet{Proof: &proof{Proof: chosen(p.Challenge)}}, &packet{Call: &callHead{Call: *call}}, &packet{End: endOf(string(call.ID), nil)})
+		c.flush(t)
+		p, err = c.read()
+		if err != nil || p.Refusal == nil || p.Refusal.Reason != refusedUnauthenticated {
+			t.Fatalf("proof %d: %+v %v", i, p, err)
+		}
+	}
+	// The event follows the refusal.
+	eventually(t, "an event for each", func() bool { return events.count(event.PeerRefused) == len(choose) })
+}
+
+// Guards against a peer of another protocol version that is served, on either side.
+func TestUnknownVersionIsRefused(t *testing.T) {
+	events := &recorder{}
+	_, target := startServer(t, echo, func(config *ServerConfig) { config.Recorder = events })
+	greeting := &hello{
+		Version:   protocolVersion + 1,
+		Purpose:   purposeCalls,
+		Challenge: newChallenge(),
+	}
+	p, err := rawHello(t, target, &packet{Hello: greeting}).read()
+	if err != nil || p.Refusal == nil || p.Refusal.Reason != refusedVersion {
+		t.Fatalf("unexpected packet %+v %v", p, err)
+	}
+	eventually(t, "the event", func() bool { return events.count(event.PeerRefused) == 1 })
+	answers := []*packet{
+		{Refusal: &refusal{Version: 9, Reason: refusedVersion}},
+		{Challenge: &challenge{Version: 9}},
+	}
+	for _, first := range answers {
+		newer := listenWith(t, func(raw net.Conn) {
+			c := newConnection(raw, 0)
+			_, _ = c.read()
+			_ = c.out.Write(first)
+			_ = c.in.Wait()
+		})
+		client := newClient(t, func(config *ClientConfig) { config.Recorder = events })
+		_, err = client.Call(context.Background(), newer, newCall(nil))
+		if !errors.Is(err, lagoonbarrow.ErrVersion) || !errors.Is(err, lagoonbarrow.ErrNotSent) {
+			t.Fatal(err)
+		}
+	}
+	if events.count(event.PeerRefused) != 3 {
+		t.Fatalf("%d events", events.count(event.PeerRefused))
+	}
+}
+
+// Guards against frames of the authenticated size before authentication, which
+// would let anyone use up memory.
+func TestLargeFramesNeedAuthentication(t *testing.T) {
+	_, target := startServer(t, echo, nil)
+	greeting := &hello{
+		Version:   protocolVersion,
+		Instance:  lagoonbarrow.InstanceID(make([]byte, 2*handshakeFrameBytes)),
+		Purpose:   purposeCalls,
+		Challenge: newChallenge(),
+	}
+	if p, err := rawHello(t, target, &packet{Hello: greeting}).read(); err == nil {
+		t.Fatalf("unexpected packet %+v", p)
+	}
+}
+
+// Guards against connections beyond the limit, and against a refused call whose
+// caller can't tell that it was not run.
+func TestConnectionLimit(t *testing.T) {
+	server, target := startServer(t, echo, func(config *ServerConfig) {
+		config.MaxConnections = 1
+		config.MaxControlConnections = 1
+		config.Messages = map[string]lagoonbarrow.MessageHandler{
+			"probe": messageFunc(func(_ context.Context, _ lagoonbarrow.InstanceID, message lagoonbarrow.Message) (lagoonbarrow.Message, error) {
+				return message, nil
+			}),
+		}
+	})
+	first, second := newClient(t, nil), newClient(t, nil)
+	if _, err := first.Call(context.Background(), target, newCall(nil)); err != nil {
+		t.Fatal(err)
+	}
+	for range 20 {
+		_, err := second.Call(context.Background(), target, newCall(make([]byte, 1<<20)))
+		if !errors.Is(err, lagoonbarrow.ErrNotSent) {
+			t.Fatal(err)
+		}
+		_, err = second.Call(context.Background(), target, newCall(nil))
+		if !errors.Is(err, lagoonbarrow.ErrNotSent) {
+			t.Fatal(err)
+		}
+	}
+	if _, err := second.Send(context.Background(), target.Peer, lagoonbarrow.Message{Kind: "probe"}); err != nil {
+		t.Fatalf("control messages wait for calls: %v", err)
+	}
+	first.Close()
+	eventually(t, "the connection is counted out", func() bool {
+		server.mutex.Lock()
+		defer server.mutex.Unlock()
+		return server.open[purposeCalls] == 0
+	})
+	if _, err := second.Call(context.Background(), target, newCall(nil)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against packets that make either side of a connection panic or run on.
+func FuzzConnection(f *testing.F) {
+	call := newCall([]byte("12345"))
+	seeds := [][]*packet{
+		answerFor(call, []byte("12345")),
+		{{Call: &callHead{Call: *call, BodyBytes: 5}}, {End: endOf(string(call.ID), call.Body)}},
+		{{Message: &message{ID: "1", Kind: "probe"}}, {End: endOf("1", nil)}},
+		{{Hello: &hello{Version: protocolVersion, Purpose: purposeCalls, Challenge: newChallenge()}}, {Proof: &proof{}}},
+	}
+	for _, seed := range seeds {
+		var raw bytes.Buffer
+		writer := frame.NewWriter(&raw, 0)
+		for _, p := range seed {
+			if err := writer.Write(p); err != nil {
+				f.Fatal(err)
+			}
+		}
+		f.Add(raw.Bytes())
+	}
+	f.Fuzz(func(_ *testing.T, raw []byte) {
+		open := func() *connection {
+			return newConnection(&bufferConn{Buffer: bytes.NewBuffer(bytes.Clone(raw))}, 0)
+		}
+		_ = open().welcome(testIdentity, func(purpose) bool { return true })
+		_ = open().greet(testIdentity, purposeCalls)
+		_, _ = open().receiveAnswer(call.ID, 1<<20)
+		_, _ = receiveCall(open())
+	})
+}
