--- a/internal/request/claim/background.go
+++ b/internal/request/claim/background.go
@@ -36,7 +36,8 @@
 // background repeats jobs until they are settled.
 type background struct {
 	claims *Claims
-	pool   pond.Pool
+	// workers are the tasks of a pond pool; they run until ctx ends.
+	workers []pond.Task
 	// ctx ends when the remaining jobs are given up.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -63,9 +64,9 @@
 }
 
 func (b *background) start() {
-	b.pool = pond.NewPool(b.claims.config.Workers)
+	pool := pond.NewPool(b.claims.config.Workers)
 	for range b.claims.config.Workers {
-		b.pool.Submit(b.work)
+		b.workers = append(b.workers, pool.Submit(b.work))
 	}
 }
 
@@ -79,12 +80,12 @@
 	empty := len(b.queue)+b.running == 0
 	b.mutex.Unlock()
 	b.signal()
-	if !empty && b.pool != nil {
+	if !empty && b.workers != nil {
 		b.waitIdle()
 	}
 	b.cancel()
-	if b.pool != nil {
-		b.pool.StopAndWait()
+	for _, worker := range b.workers {
+		_ = worker.Wait()
 	}
 	b.giveUp()
 }
--- a/internal/request/claim/claims.go
+++ b/internal/request/claim/claims.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -22,7 +23,9 @@
 	attempts   *attempts
 	metrics    *metrics
 	background *background
-	stopOnce   sync.Once
+	// random returns a number from 0 up to, but without, its argument.
+	random   func(int64) int64
+	stopOnce sync.Once
 }
 
 // New returns Claims. The background writes begin with Start.
@@ -32,6 +35,7 @@
 		config:   config,
 		attempts: newAttempts(),
 		metrics:  newMetrics(config.Scope),
+		random:   rand.Int64N,
 	}
 	c.background = newBackground(c)
 	return c
--- a/internal/request/claim/void.go
+++ b/internal/request/claim/void.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/pkg/errors"
@@ -85,7 +84,7 @@
 	for range try {
 		delay = min(2*delay, c.config.RetryDelayMax)
 	}
-	return delay/2 + time.Duration(rand.Int64N(int64(delay/2)+1))
+	return delay/2 + time.Duration(c.random(int64(delay/2)+1))
 }
 
 // pause waits and reports whether ctx still runs.
