Test the admission gate by simulation

Cause: the gate's control had not been run against a model of a backend server. Faults found and fixed: a slowdown of all operations made them all long (median with a memory of 5 s); a limit lowered below the load in use stayed low; the threshold overshot while new calls had only begun (capacity now counts idle slots); one reserved slot of two refused half of the normal work.

--- a/internal/process/admission/control.go
+++ b/internal/process/admission/control.go
@@ -50,7 +50,7 @@
 func (g *Gate) closeWindow(now time.Time) {
 	elapsed := now.Sub(g.windowStart)
 	g.windowStart = now
-	g.median.close()
+	g.operations.close()
 	g.limiter.close(now, &g.operations, g.running)
 	lower := g.running - g.runningBy[lagoonbarrow.ImportanceCritical]
 	lower += g.short.queue.lower() + g.long.queue.lower()
@@ -61,6 +61,8 @@
 			window:    g.config.Window,
 			target:    g.config.TargetQueueDelay,
 			queue:     &l.queue,
+			potential: g.potential(l),
+			hold:      l.hold,
 			lowerBusy: lower > 0,
 		})
 		g.shedBelow(l)
@@ -70,6 +72,19 @@
 	g.publish()
 }
 
+// potential is the number of calls that a lane would end in a window with all
+// the slots that it may use now.
+func (g *Gate) potential(l *lane) float64 {
+	if l.hold <= 0 {
+		return 0
+	}
+	slots := g.laneLimit(l)
+	if !l.long {
+		slots = max(1, slots-g.long.running)
+	}
+	return float64(slots) * float64(g.config.Window) / float64(l.hold)
+}
+
 // shedBelow refuses the queued calls below the lane's threshold. They were not
 // run, and their callers hear of it before their deadline.
 func (g *Gate) shedBelow(l *lane) {
--- a/internal/process/admission/gate.go
+++ b/internal/process/admission/gate.go
@@ -22,6 +22,9 @@
 	// reserveMemory is how long critical work keeps its reserve after the last critical call.
 	// Without critical work the reserve would idle a tenth of the slots.
 	reserveMemory = 10 * time.Second
+	// leastReservedLimit is the least limit with a reserve. One reserved slot of two
+	// would refuse other work at 60 % load; there critical work relies on preemption.
+	leastReservedLimit = 5
 )
 
 // Gate implements lagoonbarrow.Admission. It is safe for concurrent use.
@@ -41,7 +44,6 @@
 	preempting   int
 	sequence     uint64
 	operations   operations
-	median       medianTrack
 	lastCritical time.Time
 	windowStart  time.Time
 	counts       counts
@@ -263,8 +265,10 @@
 	if g.config.Plain || now.Sub(g.lastCritical) >= reserveMemory {
 		return 0
 	}
-	wanted := max(1, int(g.config.CriticalReserve*float64(g.limiter.limit)))
-	return min(wanted, g.limiter.limit-1)
+	if g.limiter.limit < leastReservedLimit {
+		return 0
+	}
+	return max(1, int(g.config.CriticalReserve*float64(g.limiter.limit)))
 }
 
 // laneLimit is the highest number of calls that a lane may run. Short work may
@@ -412,13 +416,11 @@
 func (g *Gate) observe(p *permit, now time.Time) {
 	held, own := p.times(now)
 	g.limiter.served++
-	p.lane.observeHold(held)
-	p.op.observe(now, held, g.median.median)
-	p.op.latency.add(now, own)
-	if !p.lane.long {
-		g.median.add(held)
+	if p.lane.long || !p.op.long {
+		p.lane.observeHold(held)
 	}
-	p.op.judge(g.median.median)
+	p.op.observe(now, held, g.operations.shortMedian)
+	p.op.latency.add(now, own)
 	g.metrics.serviceTime.Record(held)
 }
 
--- a/internal/process/admission/limiter.go
+++ b/internal/process/admission/limiter.go
@@ -8,6 +8,9 @@
 const (
 	// coldStartPart is the part of the slots that the limit starts at.
 	coldStartPart = 4
+	// coldStartWindows is the number of windows with answers after which the cold start
+	// ends although the limit was not reached.
+	coldStartWindows = 50
 	// minLimit is the least limit, unless there are fewer slots.
 	minLimit = 2
 	// growthPart: the limit grows by 1/growthPart in each window, so that it is back from
@@ -43,9 +46,12 @@
 	slots  int
 	limit  int
 	reason string
-	// warm is set once the limit has reached the slots. Until then it grows
-	// only in windows in which it was reached.
+	// warm ends the cold start: the limit has reached the slots, or
+	// coldStartWindows have passed. Until then the limit grows only in windows in which it
+	// was reached.
 	warm bool
+	// answered counts the windows with answers during the cold start.
+	answered int
 	// peak is the highest number of running calls in the present window.
 	peak   int
 	served int
@@ -88,7 +94,8 @@
 func (t *operations) evidence(now time.Time) evidence {
 	var found evidence
 	weighted := 0.0
-	for _, op := range t.byName {
+	for element := t.recent.Front(); element != nil; element = element.Next() {
+		op := element.Value.(*operation)
 		track := &op.latency
 		if track.close(now) {
 			found.fresh = true
@@ -110,7 +117,8 @@
 }
 
 func (t *operations) adoptInflated() {
-	for _, op := range t.byName {
+	for element := t.recent.Front(); element != nil; element = element.Next() {
+		op := element.Value.(*operation)
 		if op.latency.inflated {
 			op.latency.adopt()
 		}
@@ -134,6 +142,10 @@
 
 func (l *limiter) grow() {
 	l.trialLimit = 0
+	if l.served > 0 && !l.warm {
+		l.answered++
+		l.warm = l.answered >= coldStartWindows
+	}
 	if !l.warm && l.peak < l.limit {
 		return
 	}
@@ -148,12 +160,12 @@
 	}
 }
 
-// shrink lowers the limit, unless lowering it has proved useless: then the
-// latency has another cause than concurrency and becomes the new baseline. So a
-// lasting slowdown can't drive the limit down and keep it there.
+// shrink lowers the limit, unless that has proved useless or less than half of
+// it is in use: then the latency has another cause than concurrency and becomes the new
+// baseline. So a lasting slowdown can't drive the limit down and keep it there.
 func (l *limiter) shrink(found evidence, table *operations) {
 	l.reason = reasonLatency
-	if !found.fresh || 2*l.peak < l.limit {
+	if !found.fresh {
 		return
 	}
 	if l.trialLimit == 0 {
@@ -161,7 +173,7 @@
 		l.trialInflation = found.inflation
 	}
 	lowest := min(minLimit, l.slots)
-	if l.limit <= lowest || l.trialFailed(found) {
+	if l.limit <= lowest || 2*l.peak < l.limit || l.trialFailed(found) {
 		table.adoptInflated()
 		l.trialLimit = 0
 		l.reason = reasonNotFollowing
--- a/internal/process/admission/operations.go
+++ b/internal/process/admission/operations.go
@@ -17,6 +17,14 @@
 	// shortFactor is the factor below which it counts as short again. The gap
 	// keeps an operation near the border from changing lanes back and forth.
 	shortFactor = 5
+	// longWindows is the number of windows in a row that an operation must exceed the factor.
+	// A slowdown of all operations lifts the median within fewer windows, so it makes none long.
+	longWindows = 3
+	// medianCalls is the least number of short calls in two windows behind a median.
+	medianCalls = 8
+	// medianWindows is how long a median is kept without enough short calls. Then
+	// it is unknown and no operation is long by measurement.
+	medianWindows = 10
 	// minSamples is the number of calls before an operation is judged.
 	minSamples = 32
 	// meanWeight is the weight of one call in an operation's mean.
@@ -44,7 +52,11 @@
 	typicalLog float64
 	lastSample time.Time
 	// long is set when calls declared short were measured as long.
-	long    bool
+	long bool
+	// ended counts the calls that ended in the present and the last window.
+	ended [2]int
+	// above counts the windows in a row in which the mean exceeded longFactor.
+	above   int
 	latency latencyTrack
 }
 
@@ -64,18 +76,27 @@
 		clipped = min(seconds, clipFactor*shortMedian)
 	}
 	o.samples++
+	o.ended[0]++
 	o.lastSample = now
 	weight := 1 / float64(o.samples)
 	o.mean += max(meanWeight, weight) * (clipped - o.mean)
 	o.typicalLog += max(typicalWeight, weight) * (math.Log(seconds) - o.typicalLog)
 }
 
-// judge decides whether an operation declared short belongs to the long lane.
+// judge decides at the end of a window whether an operation declared short
+// belongs to the long lane. Without short work to compare with, none does.
 func (o *operation) judge(shortMedian float64) {
-	if o.samples < minSamples || shortMedian <= 0 {
+	if shortMedian <= 0 {
+		o.long = false
+		o.above = 0
 		return
 	}
-	if o.mean > longFactor*shortMedian {
+	if o.samples < minSamples || o.mean <= longFactor*shortMedian {
+		o.above = 0
+	} else {
+		o.above++
+	}
+	if o.above >= longWindows {
 		o.long = true
 	}
 	if o.mean < shortFactor*shortMedian {
@@ -88,6 +109,12 @@
 	byName map[string]*operation
 	// recent lists the operations, the one used last first.
 	recent *list.List
+	// shortMedian is the median time in a slot of short work in seconds, 0 while unknown.
+	shortMedian float64
+	// unknown counts the windows in a row without enough short calls.
+	unknown int
+	// scratch is reused to compute the median.
+	scratch []*operation
 }
 
 func newOperations() operations {
@@ -115,57 +142,59 @@
 	return added
 }
 
-// longNames lists the operations that were measured as long.
-func (t *operations) longNames() []string {
-	var names []string
-	for name, op := range t.byName {
-		if op.long {
-			names = append(names, name)
-		}
+// close ends a window: it computes the median and judges all operations.
+func (t *operations) close() {
+	t.updateMedian()
+	for element := t.recent.Front(); element != nil; element = element.Next() {
+		op := element.Value.(*operation)
+		op.judge(t.shortMedian)
+		op.ended[1] = op.ended[0]
+		op.ended[0] = 0
 	}
-	sort.Strings(names)
-	return names
-}
-
-const (
-	// medianBuckets at bucketsPerDouble buckets for each doubling cover 1 µs to 70 minutes.
-	medianBuckets    = 128
-	bucketsPerDouble = 4
-	// medianDecay is the part of the counts kept from one window to the next: a
-	// memory of about 5 s at windows of 100 ms.
-	medianDecay = 0.98
-)
-
-// medianTrack estimates the median time in a slot of recent short work.
-type medianTrack struct {
-	counts [medianBuckets]float64
-	total  float64
-	// median is in seconds, 0 while unknown.
-	median float64
 }
 
-func (m *medianTrack) add(held time.Duration) {
-	micros := max(held, time.Microsecond).Seconds() * 1e6
-	bucket := int(math.Log2(micros) * bucketsPerDouble)
-	m.counts[min(bucket, medianBuckets-1)]++
-	m.total++
-}
-
-// close ends a window: it computes the median and fades the counts.
-func (m *medianTrack) close() {
-	if m.total < 1 {
+// updateMedian takes the median of the typical times of short operations,
+// weighted by the calls that ended in the last two windows. A short memory matters when
+// all operations slow down at once.
+func (t *operations) updateMedian() {
+	total := 0
+	t.scratch = t.scratch[:0]
+	for element := t.recent.Front(); element != nil; element = element.Next() {
+		op := element.Value.(*operation)
+		if calls := op.ended[0] + op.ended[1]; calls > 0 && !op.long {
+			total += calls
+			t.scratch = append(t.scratch, op)
+		}
+	}
+	if total < medianCalls {
+		t.unknown++
+		if t.unknown >= medianWindows {
+			t.shortMedian = 0
+		}
 		return
 	}
-	below := 0.0
-	for bucket, count := range m.counts {
-		below += count
-		if below >= m.total/2 {
-			m.median = math.Exp2((float64(bucket)+0.5)/bucketsPerDouble) * 1e-6
-			break
+	t.unknown = 0
+	sort.Slice(t.scratch, func(i, j int) bool {
+		return t.scratch[i].typicalLog < t.scratch[j].typicalLog
+	})
+	below := 0
+	for _, op := range t.scratch {
+		below += op.ended[0] + op.ended[1]
+		if 2*below >= total {
+			t.shortMedian = math.Exp(op.typicalLog)
+			return
 		}
 	}
-	for bucket := range m.counts {
-		m.counts[bucket] *= medianDecay
+}
+
+// longNames lists the operations that were measured as long.
+func (t *operations) longNames() []string {
+	var names []string
+	for element := t.recent.Front(); element != nil; element = element.Next() {
+		if op := element.Value.(*operation); op.long {
+			names = append(names, op.name)
+		}
 	}
-	m.total *= medianDecay
+	sort.Strings(names)
+	return names
 }
--- /dev/null
+++ b/internal/process/admission/overload_test.go
@@ -0,0 +1,275 @@
+package admission
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"lagoonbarrow"
+)
+
+// seeds are the seeds of all simulations.
+var seeds = []uint64{1, 2}
+
+// meanOf keeps the number of calls per second of large gates low, so that the
+// simulations run in seconds under the race detector.
+func meanOf(slots int) time.Duration {
+	if slots > 100 {
+		return 100 * time.Millisecond
+	}
+	return 20 * time.Millisecond
+}
+
+// mixture offers load times the capacity of slots with the three levels in
+// the ratio 10 : 30 : 60.
+func mixture(load float64, slots int, mean, deadline time.Duration, surge func(time.Duration) float64) []*source {
+	capacity := float64(slots) / mean.Seconds()
+	levels := []struct {
+		name  string
+		level lagoonbarrow.Importance
+		part  float64
+	}{
+		{"filing", lagoonbarrow.ImportanceCritical, 0.1},
+		{"lookup", lagoonbarrow.ImportanceNormal, 0.3},
+		{"browse", lagoonbarrow.ImportanceDeferrable, 0.6},
+	}
+	var sources []*source
+	for _, entry := range levels {
+		sources = append(sources, &source{
+			name:     entry.name,
+			level:    entry.level,
+			deadline: deadline,
+			rate: func(since time.Duration) float64 {
+				return load * capacity * entry.part * surge(since)
+			},
+			service: exponential(mean),
+		})
+	}
+	return sources
+}
+
+func steady(time.Duration) float64 { return 1 }
+
+// Guards against lost goodput at twice the capacity, and against critical calls
+// that are refused or late while less important work is admitted.
+func TestGoodputAtTwiceTheCapacity(t *testing.T) {
+	for _, slots := range []int{15, 70, 200} {
+		for _, seed := range seeds {
+			mean := meanOf(slots)
+			s := newSimulation(t, seed, Config{
+				Slots: slots,
+			})
+			s.from = 2 * time.Second
+			s.run(8*time.Second, mixture(2, slots, mean, time.Second, steady)...)
+			s.log()
+			done := 0
+			for _, result := range s.outcomes {
+				done += result.done
+			}
+			part := float64(done) / 6 / (float64(slots) / mean.Seconds())
+			t.Logf("slots %d: goodput %.3f of capacity, limit %d (%s)", slots, part, s.gate.limiter.limit, s.gate.limiter.reason)
+			if part < 0.9 {
+				t.Errorf("slots %d: goodput %.3f of capacity", slots, part)
+			}
+			filings := s.outcomes["filing"]
+			if filings.shed+filings.expired+filings.late > 0 {
+				t.Errorf("slots %d: filings shed %d, expired %d, late %d", slots, filings.shed, filings.expired, filings.late)
+			}
+		}
+	}
+}
+
+// recovery follows threshold and limit after the end of a disturbance.
+type recovery struct {
+	end time.Duration
+	// after is the time from the end until the threshold is 0 and the limit at the slots.
+	after     time.Duration
+	recovered bool
+	// later counts the control steps after the recovery, disturbed those among them
+	// that were not in order.
+	later, disturbed int
+	highest          lagoonbarrow.Threshold
+	lowest           int
+}
+
+func followRecovery(s *simulation, begin, end time.Duration) *recovery {
+	r := &recovery{
+		end:    end,
+		lowest: s.gate.config.Slots,
+	}
+	s.observe = func(since time.Duration) {
+		inOrder := s.gate.short.control.threshold == 0 && s.gate.limiter.limit == s.gate.config.Slots
+		switch {
+		case since > begin && since <= end:
+			r.highest = max(r.highest, s.gate.short.control.threshold)
+			r.lowest = min(r.lowest, s.gate.limiter.limit)
+		case since > end && !r.recovered:
+			r.recovered = inOrder
+			r.after = since - end
+		case r.recovered:
+			r.later++
+			if !inOrder {
+				r.disturbed++
+			}
+		}
+	}
+	return r
+}
+
+func (r *recovery) check(t *testing.T, what string) {
+	t.Helper()
+	t.Logf("%s: threshold up to %d, limit down to %d, recovered %v after the end, later disturbed in %d of %d steps",
+		what, r.highest, r.lowest, r.after, r.disturbed, r.later)
+	if !r.recovered || r.after > 2*time.Second {
+		t.Errorf("%s: recovered %v, after %v", what, r.recovered, r.after)
+	}
+	if 10*r.disturbed > r.later {
+		t.Errorf("%s: disturbed in %d of %d steps after the recovery", what, r.disturbed, r.later)
+	}
+}
+
+// Guards against overload that outlasts its cause: a threshold or limit that
+// stays where a surge left it.
+func TestRecoveryAfterSurge(t *testing.T) {
+	const begin, end = 5 * time.Second, 15 * time.Second
+	cases := []struct {
+		slots int
+		load  float64
+	}{
+		{2, 0.2}, // With two slots, queues outlast a window by chance from a load of about 0.4.
+		{15, 0.6},
+		{70, 0.8},
+		{200, 0.8},
+	}
+	for _, entry := range cases {
+		for _, seed := range seeds {
+			s := newSimulation(t, seed, Config{
+				Slots: entry.slots,
+			})
+			surge := func(since time.Duration) float64 {
+				if since >= begin && since < end {
+					return 4 / entry.load
+				}
+				return 1
+			}
+			// The backend server slows down up to threefold near its slots while the surge lasts.
+			s.slowdown = func(since time.Duration, _ *source, running int) float64 {
+				if surge(since) == 1 {
+					return 1
+				}
+				return 1 + 2*float64(running)/float64(entry.slots)
+			}
+			r := followRecovery(s, begin, end)
+			s.run(20*time.Second, mixture(entry.load, entry.slots, meanOf(entry.slots), time.Second, surge)...)
+			r.check(t, fmt.Sprintf("slots %d", entry.slots))
+			if r.highest == 0 {
+				t.Errorf("slots %d: the surge did not raise the threshold", entry.slots)
+			}
+			if s.criticalFault > 0 {
+				t.Errorf("slots %d: %d critical calls shed while lower work was admitted", entry.slots, s.criticalFault)
+			}
+		}
+	}
+}
+
+// Guards against a gate that stays closed after the backend server answered
+// nothing for some seconds.
+func TestRecoveryAfterFreeze(t *testing.T) {
+	const begin, end = 5 * time.Second, 10 * time.Second
+	for _, seed := range seeds {
+		s := newSimulation(t, seed, Config{
+			Slots: 70,
+		})
+		mean := 20 * time.Millisecond
+		r := followRecovery(s, begin, end)
+		sources := mixture(0.8, 70, mean, time.Second, steady)
+		for _, from := range sources {
+			from.service = func(random *rand.Rand) time.Duration {
+				drawn := exponential(mean)(random)
+				if since := s.since(); since >= begin && since < end {
+					return end - since + drawn
+				}
+				return drawn
+			}
+		}
+		s.run(15*time.Second, sources...)
+		r.check(t, "freeze")
+	}
+}
+
+// Guards against a limit that is driven down for good by a slowdown that has
+// nothing to do with concurrency.
+func TestLastingSlowdownKeepsLimit(t *testing.T) {
+	for _, factor := range []float64{3, 10} {
+		for _, seed := range seeds {
+			s := newSimulation(t, seed, Config{
+				Slots: 70,
+			})
+			s.slowdown = func(since time.Duration, _ *source, _ int) float64 {
+				if since > 5*time.Second {
+					return factor
+				}
+				return 1
+			}
+			steps, below := 0, 0
+			lowest := 70
+			s.observe = func(since time.Duration) {
+				if since < 5*time.Second {
+					return
+				}
+				steps++
+				lowest = min(lowest, s.gate.limiter.limit)
+				if s.gate.limiter.limit < 63 {
+					below++
+				}
+			}
+			s.run(20*time.Second, mixture(0.8, 70, 20*time.Millisecond, 2*time.Second, steady)...)
+			t.Logf("factor %g: limit down to %d, below 63 of 70 in %d of %d steps, at the end %d (%s)",
+				factor, lowest, below, steps, s.gate.limiter.limit, s.gate.limiter.reason)
+			if 10*below > steps || s.gate.limiter.limit != 70 {
+				t.Errorf("factor %g: limit below 63 in %d of %d steps, at the end %d", factor, below, steps, s.gate.limiter.limit)
+			}
+		}
+	}
+}
+
+// Guards against a limit below the slots when a few requests take many times
+// longer than the rest.
+func TestVaryingLatencyKeepsLimit(t *testing.T) {
+	shapes := []struct {
+		name    string
+		service func(*rand.Rand) time.Duration
+	}{
+		{"exponential", exponential(20 * time.Millisecond)},
+		{"2 % take 50 times as long", heavyTail(10*time.Millisecond, 0.02, 50)},
+		{"10 % take 20 times as long", heavyTail(10*time.Millisecond, 0.1, 20)},
+		{"half take 10 times as long", heavyTail(5*time.Millisecond, 0.5, 10)},
+	}
+	for _, shape := range shapes {
+		for _, slots := range []int{15, 70} {
+			for _, load := range []float64{0.5, 1.5} {
+				s := newSimulation(t, seeds[0], Config{
+					Slots: slots,
+				})
+				lowest := slots
+				s.observe = func(since time.Duration) {
+					if since > 6*time.Second {
+						lowest = min(lowest, s.gate.limiter.limit)
+					}
+				}
+				// The sources' mean is about 20 ms for all shapes but the last.
+				sources := mixture(load, slots, 20*time.Millisecond, 5*time.Second, steady)
+				for _, from := range sources {
+					from.service = shape.service
+				}
+				s.run(20*time.Second, sources...)
+				t.Logf("%s, slots %d, load %g: limit down to %d, long operations %v",
+					shape.name, slots, load, lowest, s.gate.operations.longNames())
+				if lowest < slots {
+					t.Errorf("%s, slots %d, load %g: limit down to %d", shape.name, slots, load, lowest)
+				}
+			}
+		}
+	}
+}
--- a/internal/process/admission/threshold.go
+++ b/internal/process/admission/threshold.go
@@ -15,7 +15,13 @@
 	// every further window without overload, so that a fall from 192 to 0 takes 8 windows.
 	firstStep = 2
 	// idleStep replaces firstStep when slots were idle, which shows that the threshold is too high.
-	idleStep = 16
+	idleStep = 32
+	// firstHeadroom is the part of the capacity that may be admitted in excess in
+	// the first fall after a rise. It doubles like the step, so that an
+	// underestimated capacity can't keep the threshold up.
+	firstHeadroom = 0.05
+	// mostHeadroom ends the doubling, far above any load.
+	mostHeadroom = 1e6
 	// blindStep is the rise while no call has ended yet, so that the capacity is unknown.
 	blindStep = 16
 	// highestThreshold still admits the most important priority.
@@ -28,6 +34,7 @@
 type thresholdControl struct {
 	threshold lagoonbarrow.Threshold
 	step      lagoonbarrow.Threshold
+	headroom  float64
 
 	// arrived and freed count the present window.
 	arrived [priorities]uint32
@@ -43,6 +50,8 @@
 	arrivals   [priorities]float64
 	frees      float64
 	freesKnown bool
+	// busy is the time for which no sample found an idle slot.
+	busy time.Duration
 	// lastStanding is the standing delay of the last window.
 	lastStanding time.Duration
 }
@@ -67,6 +76,10 @@
 	window time.Duration
 	target time.Duration
 	queue  *queue
+	// potential is the number of calls per window that full use of the lane's slots would end.
+	potential float64
+	// hold is the mean time that a call holds a slot.
+	hold time.Duration
 	// lowerBusy is set while work below the critical level is running or queued.
 	lowerBusy bool
 }
@@ -75,10 +88,14 @@
 func (c *thresholdControl) close(end windowEnd) {
 	c.smooth(end.scale)
 	c.lastStanding = c.standing
+	c.busy += end.window
+	if c.idle > 0 {
+		c.busy = 0
+	}
 	if c.sampled && c.standing > end.target {
 		c.rise(end)
 	} else {
-		c.fall()
+		c.fall(end)
 	}
 	if end.lowerBusy {
 		c.threshold = min(c.threshold, lagoonbarrow.CriticalThreshold)
@@ -108,32 +125,53 @@
 // be worked off in the next window, but for a queue of the target delay.
 func (c *thresholdControl) rise(end windowEnd) {
 	c.step = 0
+	c.headroom = 0
 	if !c.freesKnown {
 		c.threshold = min(c.threshold+blindStep, highestThreshold)
 		return
 	}
 	demand := c.arrivals
 	end.queue.countsFrom(&demand)
-	room := c.frees * (1 + float64(end.target)/float64(end.window))
-	wanted := lagoonbarrow.Threshold(priorities)
-	for wanted > 0 && demand[wanted-1] <= room {
-		room -= demand[wanted-1]
-		wanted--
-	}
+	room := c.capacity(end) * (1 + float64(end.target)/float64(end.window))
+	wanted := lowestWithin(&demand, room)
 	c.threshold = min(max(wanted, c.threshold+1), highestThreshold)
 }
 
-func (c *thresholdControl) fall() {
-	c.step *= 2
-	if c.step == 0 {
-		c.step = firstStep
+// capacity estimates the calls that end in a window. Slots that have been busy
+// for longer than a call takes end as many as they did; before, that number is
+// too low, because many of the calls have only begun.
+func (c *thresholdControl) capacity(end windowEnd) float64 {
+	if c.busy > end.window+end.hold {
+		return c.frees
 	}
+	return max(c.frees, end.potential)
+}
+
+// fall lowers the threshold by a growing step, as far as the arrivals that are
+// seen do not exceed the capacity and a growing headroom.
+func (c *thresholdControl) fall(end windowEnd) {
+	c.step = min(max(2*c.step, firstStep), lagoonbarrow.Threshold(priorities))
+	c.headroom = min(max(2*c.headroom, firstHeadroom), mostHeadroom)
 	if 2*c.idle > c.samples {
 		c.step = max(c.step, idleStep)
 	}
-	if c.threshold <= c.step {
-		c.threshold = 0
+	if c.threshold == 0 {
 		return
 	}
-	c.threshold -= c.step
+	room := max(c.frees, end.potential) * (1 + c.headroom)
+	wanted := lowestWithin(&c.arrivals, room)
+	if c.threshold > c.step {
+		wanted = max(wanted, c.threshold-c.step)
+	}
+	c.threshold = min(c.threshold, wanted)
+}
+
+// lowestWithin returns the lowest threshold that admits no more than room calls.
+func lowestWithin(demand *[priorities]float64, room float64) lagoonbarrow.Threshold {
+	lowest := lagoonbarrow.Threshold(priorities)
+	for lowest > 0 && demand[lowest-1] <= room {
+		room -= demand[lowest-1]
+		lowest--
+	}
+	return lowest
 }
