Reuse buffers on peer connections and shorten control exchanges

An idle connection kept its buffers, and a large body was copied and allocated several times. Buffers now come from a shared pool and body frames are decoded into one scratch buffer. Messages with an inline body need no end frame. A failed write whose last byte was accepted no longer counts as not sent, a stopping server also bounds the wait for clients that were busy, and the backend client hears refusals that come before the request was read.

--- a/internal/connection/frame/frame_test.go
+++ b/internal/connection/frame/frame_test.go
@@ -118,7 +118,7 @@
 	if err := writer.Append(sample{Name: strings.Repeat("x", 100)}); !errors.Is(err, lagoonbarrow.ErrTooLarge) {
 		t.Fatalf("a large frame was written: %v", err)
 	}
-	if _, err := writer.Flush(); err != nil {
+	if err := writer.Flush(); err != nil {
 		t.Fatal(err)
 	}
 	stream.Write(encoded(t, sample{Name: strings.Repeat("x", 100)}))
--- a/internal/connection/frame/reader.go
+++ b/internal/connection/frame/reader.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"hash/crc32"
 	"io"
+	"sync"
 
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
@@ -17,25 +18,34 @@
 // need one read.
 const readBufferBytes = 4 << 10
 
+// smallBytes is the size of the buffer that each reader keeps.
+const smallBytes = 1 << 10
+
+// bodies holds the large buffers of idle readers.
+var bodies = sync.Pool{
+	New: func() any {
+		return &[]byte{}
+	},
+}
+
 // Reader reads frames. Its buffers are reused between frames; decoded values
 // hold copies. A Reader is not safe for concurrent use.
 type Reader struct {
-	in      *bufio.Reader
-	limit   int
-	body    []byte
-	source  bytes.Reader
-	decoder *msgpack.Decoder
+	in    *bufio.Reader
+	limit int
+	// body is a large buffer from bodies, or nil.
+	body   *[]byte
+	small  []byte
+	source bytes.Reader
 }
 
 // NewReader returns a reader that accepts frame bodies of at most limit bytes;
 // 0 means DefaultBytes.
 func NewReader(in io.Reader, limit int) *Reader {
-	r := &Reader{
+	return &Reader{
 		in:    bufio.NewReaderSize(in, readBufferBytes),
 		limit: limitOf(limit),
 	}
-	r.decoder = msgpack.NewDecoder(&r.source)
-	return r
 }
 
 // SetLimit changes the limit of frame bodies. Connections use a small limit
@@ -64,22 +74,24 @@
 	if err != nil {
 		return err
 	}
-	r.source.Reset(body)
-	r.decoder.Reset(&r.source)
+	decoder := msgpack.GetDecoder()
+	defer msgpack.PutDecoder(decoder)
 	// The decoder allocates slices and byte strings by their declared length.
 	// Skipping over the body first shows that the declared lengths are backed by
 	// bytes, so that a short frame can't demand gigabytes.
-	if err := r.decoder.Skip(); err != nil {
-		return errors.Wrap(lagoonbarrow.ErrFrame, "frame: decode: "+err.Error())
-	}
 	r.source.Reset(body)
-	r.decoder.Reset(&r.source)
-	if err := r.decoder.Decode(value); err != nil {
+	decoder.Reset(&r.source)
+	if err := decoder.Skip(); err != nil {
 		return errors.Wrap(lagoonbarrow.ErrFrame, "frame: decode: "+err.Error())
 	}
 	if r.source.Len() != 0 {
 		return errors.Wrap(lagoonbarrow.ErrFrame, "frame: bytes after the body")
 	}
+	r.source.Reset(body)
+	decoder.Reset(&r.source)
+	if err := decoder.Decode(value); err != nil {
+		return errors.Wrap(lagoonbarrow.ErrFrame, "frame: decode: "+err.Error())
+	}
 	return nil
 }
 
@@ -106,22 +118,30 @@
 	return body, nil
 }
 
-// space returns a buffer of the given size.
+// space returns a buffer of the given size, which is valid until the next call.
 func (r *Reader) space(size int) []byte {
-	if size > cap(r.body) {
-		r.body = make([]byte, size)
+	if size <= smallBytes {
+		if r.small == nil {
+			r.small = make([]byte, smallBytes)
+		}
+		return r.small[:size]
+	}
+	if r.body == nil {
+		r.body = bodies.Get().(*[]byte)
+	}
+	if size > cap(*r.body) {
+		*r.body = make([]byte, size)
 	}
-	return r.body[:size]
+	return (*r.body)[:size]
 }
 
-// Release drops a large buffer. Connections call it when they become idle.
+// Release gives large buffers back. Connections call it when they become idle.
 func (r *Reader) Release() {
-	if cap(r.body) <= keepBytes {
+	if r.body == nil {
 		return
 	}
+	bodies.Put(r.body)
 	r.body = nil
-	// The decoder keeps a buffer of the longest string that it skipped.
-	r.decoder = msgpack.NewDecoder(&r.source)
 }
 
 // cut turns an end of the stream within a frame into ErrFrame.
--- a/internal/connection/frame/writer.go
+++ b/internal/connection/frame/writer.go
@@ -5,40 +5,55 @@
 	"encoding/binary"
 	"hash/crc32"
 	"io"
+	"sync"
 
 	"github.com/vmihailenco/msgpack/v5"
 
 	"lagoonbarrow"
 )
 
-// keepBytes is the largest buffer that Release keeps. Larger ones are dropped, so
-// that one large answer doesn't pin memory on an idle connection.
-const keepBytes = 4 << 10
+// buffers holds the encoding buffers of idle writers, so that an idle connection
+// holds none and a busy one doesn't allocate.
+var buffers = sync.Pool{
+	New: func() any {
+		return &bytes.Buffer{}
+	},
+}
 
 // Writer writes frames. It collects appended frames and sends them with one
 // write. A Writer is not safe for concurrent use.
 type Writer struct {
-	out     io.Writer
-	limit   int
-	buffer  bytes.Buffer
+	out   io.Writer
+	limit int
+	// buffer and encoder are nil while nothing is appended.
+	buffer  *bytes.Buffer
 	encoder *msgpack.Encoder
 }
 
 // NewWriter returns a writer whose frame bodies have at most limit bytes; 0
 // means DefaultBytes.
 func NewWriter(out io.Writer, limit int) *Writer {
-	w := &Writer{
+	return &Writer{
 		out:   out,
 		limit: limitOf(limit),
 	}
-	w.encoder = msgpack.NewEncoder(&w.buffer)
+}
+
+// take makes sure that there is a buffer.
+func (w *Writer) take() {
+	if w.buffer != nil {
+		return
+	}
+	w.buffer = buffers.Get().(*bytes.Buffer)
+	w.encoder = msgpack.GetEncoder()
+	w.encoder.Reset(w.buffer)
 	w.encoder.UseCompactInts(true)
-	return w
 }
 
 // Append encodes value as a frame without sending it. It returns ErrTooLarge
 // when the body exceeds the limit; frames appended before stay in place.
 func (w *Writer) Append(value any) error {
+	w.take()
 	start := w.buffer.Len()
 	var header [HeaderBytes]byte
 	w.buffer.Write(header[:])
@@ -59,33 +74,37 @@
 
 // Buffered returns the number of bytes that were appended and not yet sent.
 func (w *Writer) Buffered() int {
+	if w.buffer == nil {
+		return 0
+	}
 	return w.buffer.Len()
 }
 
-// Flush sends the appended frames with one write. It returns the number of
-// bytes written; with an error the receiver did not get the last frame whole.
-func (w *Writer) Flush() (int, error) {
-	if w.buffer.Len() == 0 {
-		return 0, nil
+// Flush sends the appended frames with one write. The error is nil exactly if
+// the last byte was accepted; otherwise the receiver can't get the last frame whole.
+func (w *Writer) Flush() error {
+	size := w.Buffered()
+	if size == 0 {
+		return nil
 	}
 	n, err := w.out.Write(w.buffer.Bytes())
-	w.buffer.Reset()
-	if err != nil {
-		return n, wrap(err, "write")
+	w.Discard()
+	if err != nil && n < size {
+		return wrap(err, "write")
 	}
-	return n, nil
+	return nil
 }
 
 // Discard drops the appended frames.
 func (w *Writer) Discard() {
-	w.buffer.Reset()
-}
-
-// Release drops a large buffer. Connections call it when they become idle.
-func (w *Writer) Release() {
-	if w.buffer.Cap() > keepBytes && w.buffer.Len() == 0 {
-		w.buffer = bytes.Buffer{}
+	if w.buffer == nil {
+		return
 	}
+	w.buffer.Reset()
+	buffers.Put(w.buffer)
+	w.buffer = nil
+	msgpack.PutEncoder(w.encoder)
+	w.encoder = nil
 }
 
 // Write sends value as one frame.
@@ -93,6 +112,5 @@
 	if err := w.Append(value); err != nil {
 		return err
 	}
-	_, err := w.Flush()
-	return err
+	return w.Flush()
 }
--- a/internal/connection/peer/answer_test.go
+++ b/internal/connection/peer/answer_test.go
@@ -140,7 +140,7 @@
 			c.flush(t)
 			time.Sleep(time.Millisecond)
 			c.append(t, answerFor(call, []byte("12345"))...)
-			_, _ = c.out.Flush()
+			_ = c.out.Flush()
 		}
 	})
 	client := newClient(t, nil)
--- a/internal/connection/peer/connection.go
+++ b/internal/connection/peer/connection.go
@@ -27,7 +27,9 @@
 	// idleSince is when a client's connection was last released.
 	idleSince time.Time
 	// leaving is set on a client's connection whose server is going away.
-	leaving   bool
+	leaving bool
+	// scratch is the buffer that body frames are decoded into.
+	scratch   []byte
 	closeOnce sync.Once
 }
 
@@ -55,7 +57,7 @@
 // release drops large buffers before the connection becomes idle.
 func (c *connection) release() {
 	c.in.Release()
-	c.out.Release()
+	c.scratch = nil
 }
 
 // read returns the next packet. It returns ErrFrame unless exactly one field is set.
@@ -93,12 +95,22 @@
 	return count
 }
 
+// singleFrame reports whether the head frame is all there is of a message or reply.
+// Its checksum covers the inline body, and control bytes are bounded (design
+// 1.3), so there is no end frame.
+func (c *connection) singleFrame(body []byte) bool {
+	return c.purpose == purposeControl && len(body) <= inlineBytes
+}
+
 // send writes a head frame, the body frames and the end frame. The error is nil
 // exactly if the kernel accepted the last byte.
 func (c *connection) send(head *packet, id string, body []byte) error {
 	if err := c.out.Append(head); err != nil {
 		return err
 	}
+	if c.singleFrame(body) {
+		return c.out.Flush()
+	}
 	rest := body
 	if inline(body) != nil {
 		rest = nil
@@ -114,8 +126,7 @@
 	if err := c.out.Append(&packet{End: endOf(id, body)}); err != nil {
 		return err
 	}
-	_, err := c.out.Flush()
-	return err
+	return c.out.Flush()
 }
 
 func (c *connection) sendChunk(id string, part []byte) error {
@@ -129,14 +140,16 @@
 	if c.out.Buffered() < chunkBytes {
 		return nil
 	}
-	_, err := c.out.Flush()
-	return err
+	return c.out.Flush()
 }
 
 // receiveBody completes a body of total bytes whose inline part is given, up to
 // its end frame. It returns ErrFrame for anything unexpected. With keep false
 // the body is read and dropped.
 func (c *connection) receiveBody(id string, start []byte, total int, keep bool) ([]byte, error) {
+	if len(start) == total && c.singleFrame(start) {
+		return start, nil
+	}
 	if len(start) == total {
 		return start, c.receiveEnd(id, start, true)
 	}
@@ -146,22 +159,50 @@
 	var body []byte
 	received := 0
 	for received < total {
-		p, err := c.read()
+		part, err := c.readChunk(id)
 		if err != nil {
 			return nil, err
 		}
-		if p.Body == nil || p.Body.ID != id || len(p.Body.Data) == 0 || received+len(p.Body.Data) > total {
-			return nil, errors.Wrap(lagoonbarrow.ErrFrame, "peer: unexpected frame within a body")
+		received += len(part)
+		if received > total {
+			return nil, errors.Wrap(lagoonbarrow.ErrFrame, "peer: body is too long")
 		}
-		received += len(p.Body.Data)
 		if keep {
-			// The buffer grows with what has arrived, not with what was announced.
-			body = append(body, p.Body.Data...)
+			body = append(grown(body, len(part), total), part...)
 		}
 	}
 	return body, c.receiveEnd(id, body, keep)
 }
 
+// grown makes room in a body. The room follows what has arrived, not what was
+// announced, so that an announcement alone doesn't take memory.
+func grown(body []byte, part, total int) []byte {
+	if cap(body)-len(body) >= part {
+		return body
+	}
+	size := max(len(body)+part, min(total, 4*len(body)))
+	return append(make([]byte, 0, size), body...)
+}
+
+// readChunk returns the data of a body frame, which is valid until the next call.
+// It returns ErrFrame for any other frame.
+func (c *connection) readChunk(id string) ([]byte, error) {
+	p := &packet{
+		Body: &chunk{
+			Data: c.scratch[:0],
+		},
+	}
+	if err := c.in.Read(p); err != nil {
+		return nil, err
+	}
+	// Without a body in the frame, ID and Data stay empty.
+	if p.fields() != 1 || p.Body == nil || p.Body.ID != id || len(p.Body.Data) == 0 {
+		return nil, errors.Wrap(lagoonbarrow.ErrFrame, "peer: unexpected frame within a body")
+	}
+	c.scratch = p.Body.Data
+	return p.Body.Data, nil
+}
+
 func (c *connection) receiveEnd(id string, body []byte, check bool) error {
 	p, err := c.read()
 	if err != nil {
--- a/internal/connection/peer/script_test.go
+++ b/internal/connection/peer/script_test.go
@@ -99,7 +99,7 @@
 // flush sends what was appended.
 func (c *connection) flush(t *testing.T) {
 	t.Helper()
-	if _, err := c.out.Flush(); err != nil {
+	if err := c.out.Flush(); err != nil {
 		t.Fatal(err)
 	}
 }
--- a/internal/connection/peer/session.go
+++ b/internal/connection/peer/session.go
@@ -100,7 +100,7 @@
 // context ends when the connection closes or the client sends anything.
 func (s *session) begin() (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(context.Background())
-	s.connection.in.Release()
+	s.connection.release()
 	s.mutex.Lock()
 	s.running = true
 	_ = s.connection.raw.SetReadDeadline(time.Time{})
@@ -139,11 +139,11 @@
 		if err := c.out.Append(&packet{GoingAway: &goingAway{}}); err != nil {
 			return err
 		}
+	}
+	if stopping {
 		s.drain()
 	}
-	err := c.send(head, id, body)
-	c.out.Release()
-	return err
+	return c.send(head, id, body)
 }
 
 // announce tells the client of an idle connection to close it. A busy one is told
--- a/internal/connection/peer/wire.go
+++ b/internal/connection/peer/wire.go
@@ -109,7 +109,7 @@
 	Data []byte `msgpack:"data"`
 }
 
-// end closes a call, answer, message or reply.
+// end closes a call or answer, and a message or reply with body frames.
 type end struct {
 	ID    string `msgpack:"id"`
 	Total int    `msgpack:"total"`
--- a/internal/request/backend/connection.go
+++ b/internal/request/backend/connection.go
@@ -26,6 +26,9 @@
 	bodyWithoutLength = -2
 	// bodyInChunks is fasthttp's content length of a chunked body.
 	bodyInChunks = -1
+	// earlyAnswerTime is how long an answer is waited for after the request could
+	// not be written whole.
+	earlyAnswerTime = 100 * time.Millisecond
 	// maxInterim bounds the interim headers before an answer.
 	maxInterim = 8
 )
@@ -118,6 +121,11 @@
 	return errInterim
 }
 
+// expectSoon bounds the wait for an answer that was sent early.
+func (c *connection) expectSoon() {
+	_ = c.raw.SetReadDeadline(time.Now().Add(earlyAnswerTime))
+}
+
 // probe asks for the health path and returns the status.
 func (c *connection) probe(config Config) (int, error) {
 	request := fasthttp.AcquireRequest()
--- a/internal/request/backend/pool.go
+++ b/internal/request/backend/pool.go
@@ -28,6 +28,9 @@
 	closed bool
 	idle   []*connection
 	busy   map[*connection]struct{}
+	// sweeper closes old idle connections when there are no calls. It is nil while
+	// there are no idle connections.
+	sweeper *time.Timer
 }
 
 func newPool(config Config) *pool {
@@ -132,6 +135,20 @@
 	c.idleSince = time.Now()
 	p.idle = append(p.idle, c)
 	p.trim()
+	if p.sweeper == nil {
+		p.sweeper = time.AfterFunc(p.config.IdleTimeout, p.sweep)
+	}
+}
+
+// sweep closes old idle connections and runs again while there are others.
+func (p *pool) sweep() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.trim()
+	p.sweeper = nil
+	if len(p.idle) > 0 {
+		p.sweeper = time.AfterFunc(p.config.IdleTimeout, p.sweep)
+	}
 }
 
 // trim closes the connections that were idle for too long. The idle list is
@@ -151,6 +168,9 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.closed = true
+	if p.sweeper != nil {
+		p.sweeper.Stop()
+	}
 	for _, c := range p.idle {
 		c.close()
 	}
--- a/internal/request/backend/run.go
+++ b/internal/request/backend/run.go
@@ -60,12 +60,14 @@
 		return failed(ctx, call, lagoonbarrow.OutcomeNotRun), false
 	}
 	if err != nil {
-		return failed(ctx, call, lagoonbarrow.OutcomeUnknown), false
+		// A backend server that refuses a request before it has read all of it may
+		// close its side early. Its answer can still be there.
+		used.expectSoon()
 	}
 	if err := used.read(response, call.Method == fasthttp.MethodHead, c.config.MaxBodyBytes); err != nil {
 		return failed(ctx, call, lagoonbarrow.OutcomeUnknown), false
 	}
-	reusable = !response.ConnectionClose() && used.in.Buffered() == 0
+	reusable = err == nil && !response.ConnectionClose() && used.in.Buffered() == 0
 	return answered(call, response), reusable
 }
 
--- a/internal/request/backend/run_test.go
+++ b/internal/request/backend/run_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -11,6 +13,8 @@
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"lagoonbarrow"
 )
 
@@ -334,6 +338,87 @@
 	}
 }
 
+// Guards against a write on a connection that the backend server may be closing for
+// idleness, and against idle connections that are kept for ever.
+func TestIdleConnections(t *testing.T) {
+	s := startRaw(t, answering(wholeAnswer, false))
+	client := newClient(t, s, func(config *Config) { config.IdleTimeout = 50 * time.Millisecond })
+	run := func(method string) {
+		if answer := client.Run(context.Background(), newCall(method), soon()); answer.Outcome != lagoonbarrow.OutcomeDone {
+			t.Fatalf("unexpected answer %+v", answer)
+		}
+	}
+	run("POST")
+	<-s.gone
+	client = newClient(t, s, nil)
+	run("POST")
+	age := func() {
+		client.pool.mutex.Lock()
+		defer client.pool.mutex.Unlock()
+		client.pool.idle[0].idleSince = time.Now().Add(-2 * freshTime)
+	}
+	age()
+	run("GET")
+	age()
+	run("POST")
+	run("POST")
+	if s.connections.Load() != 3 {
+		t.Fatalf("%d connections instead of 3", s.connections.Load())
+	}
+}
+
+// Guards against the outcome unknown for a request that the backend server refused
+// before it had read all of it.
+func TestEarlyRefusalIsHeard(t *testing.T) {
+	s := startRaw(t, func(_ *rawServer, c net.Conn, in *bufio.Reader) {
+		_, _ = in.ReadByte()
+		_, _ = c.Write([]byte("HTTP/1.1 503 E\r\nLagoonbarrow-Outcome: not-run\r\nContent-Length: 0\r\n\r\n"))
+		_ = c.(*net.TCPConn).CloseRead()
+		_, _ = io.Copy(io.Discard, in)
+	})
+	call := newCall("POST")
+	call.Body = make([]byte, 4<<20)
+	answer := newClient(t, s, nil).Run(context.Background(), call, soon())
+	if answer.Outcome != lagoonbarrow.OutcomeNotRun {
+		t.Fatalf("unexpected answer %+v", answer)
+	}
+}
+
+// Guards against answers that make the parser panic or are taken for whole without
+// their end.
+func FuzzAnswer(f *testing.F) {
+	f.Add([]byte(wholeAnswer))
+	f.Add([]byte("HTTP/1.1 103 E\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX: y\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 204 N\r\nConnection: close\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		parse := func(raw []byte) (body string, rest int, err error) {
+			c := newConnection(&readOnly{Reader: bytes.NewReader(raw)})
+			var response fasthttp.Response
+			err = c.read(&response, false, 1<<16)
+			return string(response.Body()), c.in.Buffered(), err
+		}
+		body, rest, err := parse(raw)
+		if err != nil || len(raw) > readBufferBytes {
+			return
+		}
+		end := len(raw) - rest
+		if end == 0 {
+			t.Fatal("an answer without bytes")
+		}
+		if shorter, _, err := parse(raw[:end-1]); err == nil && len(shorter) >= len(body) && len(body) > 0 {
+			t.Fatalf("the answer is whole without its end: %q", raw[:end-1])
+		}
+	})
+}
+
+// readOnly is a connection that reads from memory.
+type readOnly struct {
+	net.Conn
+	io.Reader
+}
+
+func (c *readOnly) Read(data []byte) (int, error) { return c.Reader.Read(data) }
+
 // Guards against headers of one connection or of the node's own that are passed on,
 // and against a path whose encoding changes on the way.
 func TestHeadersAndPath(t *testing.T) {
