Add customer limits over many entry nodes

A contract's rate has to hold over all nodes and services, under changes of owner, pauses and partitions. One owner per customer grants shares that end with the receiver first; a report names the grant in use, so lost grants are freed at once; when the owner does not answer, the second instance in rank is asked in the same round.

--- /dev/null
+++ b/internal/process/quota/bound_test.go
@@ -0,0 +1,313 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"lagoonbarrow"
+)
+
+// delivery is one report on its way, and its answer on the way back.
+type delivery struct {
+	from  *Quota
+	name  lagoonbarrow.InstanceID
+	batch *batch
+	reply *answer
+	// abandoned is set when the sender no longer waits for the answer.
+	abandoned bool
+}
+
+// issue tells which process granted a share, and when.
+type issue struct {
+	owner *Quota
+	at    time.Time
+}
+
+// schedule drives nodes one step at a time: any message may be late or lost,
+// any process may pause or restart, and views of the members may differ.
+type schedule struct {
+	*world
+	paused     map[lagoonbarrow.InstanceID]bool
+	deliveries []*delivery
+	issues     map[grantID]issue
+}
+
+func newSchedule() *schedule {
+	return &schedule{
+		world:  newWorld(5),
+		paused: map[lagoonbarrow.InstanceID]bool{},
+		issues: map[grantID]issue{},
+	}
+}
+
+// step carries out one step; the low part of the code chooses it and the rest
+// its parameters.
+func (s *schedule) step(code uint32) {
+	parameter := int(code / 16)
+	member := s.members[parameter%len(s.members)]
+	node := s.nodes[member.ID]
+	switch code % 16 {
+	case 0, 1:
+		s.now = s.now.Add(time.Duration(parameter%700) * time.Millisecond)
+	case 2, 3, 4:
+		node.Allow(s.contract, lagoonbarrow.WorkUnits(1+parameter/8%60))
+	case 5, 6, 7:
+		s.report(member, node)
+	case 8, 9, 10:
+		s.deliver(parameter)
+	case 11, 12:
+		s.reply(parameter)
+	case 13:
+		s.giveUp(parameter)
+	case 14:
+		s.paused[member.ID] = parameter/8%3 == 0
+	case 15:
+		s.disturb(member, parameter/len(s.members))
+	}
+}
+
+// report begins a round and gives up all reports of the node before it.
+func (s *schedule) report(member lagoonbarrow.Instance, node *Quota) {
+	if s.paused[member.ID] {
+		return
+	}
+	for _, earlier := range s.deliveries {
+		if earlier.from == node {
+			earlier.abandoned = true
+		}
+	}
+	node.updateMembers()
+	for _, batch := range node.prepare(node.due(false)) {
+		s.deliveries = append(s.deliveries, &delivery{
+			from:  node,
+			name:  member.ID,
+			batch: batch,
+		})
+	}
+}
+
+// choose returns one of the deliveries that are in a state, or nil.
+func (s *schedule) choose(parameter int, state func(*delivery) bool) *delivery {
+	var eligible []*delivery
+	for _, candidate := range s.deliveries {
+		if state(candidate) {
+			eligible = append(eligible, candidate)
+		}
+	}
+	if len(eligible) == 0 {
+		return nil
+	}
+	return eligible[parameter%len(eligible)]
+}
+
+// deliver brings any report to its owner, also one that was given up.
+func (s *schedule) deliver(parameter int) {
+	chosen := s.choose(parameter, func(d *delivery) bool {
+		return d.reply == nil && !s.paused[d.batch.owner.ID]
+	})
+	if chosen == nil {
+		return
+	}
+	owner := s.nodes[chosen.batch.owner.ID]
+	reply := owner.answer(chosen.name, chosen.batch.report)
+	chosen.reply = &reply
+	for _, entry := range reply.Entries {
+		s.issues[entry.Grant] = issue{
+			owner: owner,
+			at:    s.now,
+		}
+	}
+}
+
+// reply brings an answer to a node that still waits for it, however late.
+func (s *schedule) reply(parameter int) {
+	chosen := s.choose(parameter, func(d *delivery) bool {
+		return d.reply != nil && !d.abandoned && !s.paused[d.name]
+	})
+	if chosen == nil {
+		return
+	}
+	chosen.abandoned = true
+	chosen.from.accept(chosen.batch, *chosen.reply)
+}
+
+func (s *schedule) giveUp(parameter int) {
+	chosen := s.choose(parameter, func(d *delivery) bool {
+		return !d.abandoned && !s.paused[d.name]
+	})
+	if chosen == nil {
+		return
+	}
+	chosen.abandoned = true
+	chosen.from.reportFailed(chosen.batch)
+}
+
+// disturb restarts a process, or changes who owns customers in its view.
+func (s *schedule) disturb(member lagoonbarrow.Instance, parameter int) {
+	if parameter%4 == 0 {
+		s.start(member)
+		return
+	}
+	view := s.views[member.ID]
+	changed := &view[parameter%len(view)]
+	changed.State = lagoonbarrow.StateReady
+	if parameter%3 == 0 {
+		changed.State = lagoonbarrow.StateLeaving
+	}
+}
+
+// check verifies the bound stated in the package comment.
+func (s *schedule) check() error {
+	const rounding = 1 + 1e-9
+	byOwner := map[*Quota]lagoonbarrow.WorkUnits{}
+	floors := lagoonbarrow.WorkUnits(0)
+	for _, node := range s.nodes {
+		held, valid := s.share(node)
+		if !valid {
+			floors += node.limitsOf(s.contract).floor
+			continue
+		}
+		from := s.issues[held.grant]
+		byOwner[from.owner] += held.share
+		if s.now.Sub(from.at) >= DefaultShareLife {
+			return fmt.Errorf("a share is used %v after it was granted", s.now.Sub(from.at))
+		}
+	}
+	for _, sum := range byOwner {
+		if sum > testRate*rounding {
+			return fmt.Errorf("shares of one owner add up to %v", sum)
+		}
+	}
+	if floors > testRate*rounding {
+		return fmt.Errorf("floors add up to %v", floors)
+	}
+	return nil
+}
+
+// Guards against shares that add up to more than the rate for each process
+// that acts as owner, under pauses, lost and late messages, changes of owner
+// and restarts.
+func TestPropertySharesStayWithinBound(t *testing.T) {
+	parameters := gopter.DefaultTestParameters()
+	parameters.MinSuccessfulTests = 2000
+	parameters.MaxSize = 400
+	properties := gopter.NewProperties(parameters)
+	granted := 0
+	owners := map[int]int{}
+	properties.Property("shares stay within the bound", prop.ForAll(
+		func(codes []uint32) (bool, error) {
+			run := newSchedule()
+			for _, code := range codes {
+				run.step(code)
+				if err := run.check(); err != nil {
+					return false, err
+				}
+				owners[run.owners()]++
+			}
+			granted += len(run.issues)
+			return true, nil
+		},
+		gen.SliceOf(gen.UInt32()),
+	))
+	properties.TestingRun(t)
+	t.Logf("%d grants; steps by number of owners whose shares were in use: %v", granted, owners)
+	if granted < 1000 || owners[2] == 0 {
+		t.Error("the schedules reach too few states to prove anything")
+	}
+}
+
+func (s *schedule) owners() int {
+	owners := map[*Quota]bool{}
+	for _, node := range s.nodes {
+		if held, valid := s.share(node); valid {
+			owners[s.issues[held.grant].owner] = true
+		}
+	}
+	return len(owners)
+}
+
+// Guards against a bucket that admits more than its shares allow: over any
+// schedule the admitted work is at most the first capacity, the integral of
+// the share, and the debt of one request.
+func TestPropertyBucketAdmitsNoMoreThanShares(t *testing.T) {
+	parameters := gopter.DefaultTestParameters()
+	parameters.MinSuccessfulTests = 2000
+	parameters.MaxSize = 300
+	properties := gopter.NewProperties(parameters)
+	properties.Property("admitted work is bounded", prop.ForAll(
+		func(codes []uint32) (bool, error) {
+			allowed := limits{
+				rate:  testRate,
+				burst: testBurst,
+				floor: 5,
+			}
+			now := time.Unix(1000, 0)
+			tested := newBucket(now, allowed)
+			admitted := lagoonbarrow.WorkUnits(0)
+			bound := allowed.capacity(allowed.floor) + 20
+			for _, code := range codes {
+				parameter := code / 4
+				switch code % 4 {
+				case 0:
+					end := now.Add(time.Duration(parameter%300) * 10 * time.Millisecond)
+					for ; now.Before(end); now = now.Add(10 * time.Millisecond) {
+						bound += tested.share(now, allowed) / 100
+					}
+				case 1:
+					tested.accept(now, holding{
+						share: lagoonbarrow.WorkUnits(parameter % 200),
+						until: now.Add(time.Duration(parameter%400) * 10 * time.Millisecond),
+					}, allowed)
+				default:
+					units := lagoonbarrow.WorkUnits(1 + parameter%20)
+					if ok, _ := tested.take(now, units, allowed); ok {
+						admitted += units
+					}
+				}
+			}
+			tested.refill(now.Add(time.Hour), allowed)
+			if tested.tokens > allowed.capacity(tested.share(now.Add(time.Hour), allowed)) {
+				return false, fmt.Errorf("%v tokens after an hour without requests", tested.tokens)
+			}
+			if admitted > bound*(1+1e-9) {
+				return false, fmt.Errorf("admitted %v, the bound is %v", admitted, bound)
+			}
+			return true, nil
+		},
+		gen.SliceOf(gen.UInt32()),
+	))
+	properties.TestingRun(t)
+}
+
+// Guards against a bound that holds only because nothing is granted: without
+// faults the shares follow the demand and a newcomer is served.
+func TestSharesFollowDemand(t *testing.T) {
+	w := newWorld(4)
+	for range 3 {
+		w.second(50, 150, 0, 0)
+	}
+	first, _ := w.share(w.node(0))
+	second, _ := w.share(w.node(1))
+	if first.share < 24 || second.share < 74 || first.share+second.share > 100.001 {
+		t.Errorf("shares %v and %v for demands of 50 and 150", first.share, second.share)
+	}
+	for range 4 {
+		w.second(50, 150, 200, 0)
+	}
+	if third, _ := w.share(w.node(2)); third.share < 45 {
+		t.Errorf("a newcomer with half of the demand has share %v", third.share)
+	}
+	messages := w.messages
+	w.second(0, 0, 0, 0)
+	w.second(0, 0, 0, 0)
+	w.second(0, 0, 0, 0)
+	w.second(0, 0, 0, 0)
+	if sent := w.messages - messages; sent > 3*3 {
+		t.Errorf("%d messages in the 4 s after the demand ended", sent)
+	}
+}
--- /dev/null
+++ b/internal/process/quota/ledger.go
@@ -0,0 +1,191 @@
+package quota
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"lagoonbarrow"
+)
+
+// sweepInterval bounds how often all holders of a customer are passed over. At
+// 7,800 holders that report once a second, passing over all of them at each
+// report would take 60 million steps a second.
+const sweepInterval = 250 * time.Millisecond
+
+// holder is a process that shares are granted to.
+type holder struct {
+	instance lagoonbarrow.InstanceID
+	process  processID
+}
+
+// grant is a share that its holder may be using.
+type grant struct {
+	id    grantID
+	share lagoonbarrow.WorkUnits
+	until time.Time
+}
+
+// claim is what an owner knows of one holder and one customer.
+type claim struct {
+	demand   lagoonbarrow.WorkUnits
+	reported time.Time
+	sequence uint64
+	// grants are the one that the holder said to be using, and the last one.
+	grants []grant
+}
+
+// account is what an owner knows of one customer. The sums are over all
+// claims; ended grants count until the next sweep.
+type account struct {
+	claims      map[holder]*claim
+	demand      lagoonbarrow.WorkUnits
+	outstanding lagoonbarrow.WorkUnits
+	swept       time.Time
+}
+
+// ledger holds the shares that this process granted as the owner of customers.
+type ledger struct {
+	life time.Duration
+	// mutex guards the fields below.
+	mutex    sync.Mutex
+	next     grantID
+	accounts map[lagoonbarrow.CustomerID]*account
+}
+
+func newLedger(life time.Duration) *ledger {
+	return &ledger{
+		life:     life,
+		next:     grantID(rand.Uint64() >> 1),
+		accounts: map[lagoonbarrow.CustomerID]*account{},
+	}
+}
+
+// grant answers one entry of a report. It returns false for a report that was
+// overtaken by a later one.
+func (l *ledger) grant(now time.Time, from holder, sequence uint64, entry reportEntry, rate lagoonbarrow.WorkUnits) (answerEntry, bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	customer := l.account(entry.Customer)
+	customer.sweep(now, l.life)
+	present := customer.claim(from)
+	if sequence <= present.sequence {
+		return answerEntry{}, false
+	}
+	present.sequence = sequence
+	present.reported = now
+	customer.demand += entry.Demand - present.demand
+	present.demand = entry.Demand
+	customer.outstanding -= present.largest()
+	present.keepOnly(entry.Held)
+	next := grant{
+		id:    l.next,
+		share: max(0, min(customer.target(entry.Demand, rate), rate-customer.outstanding)),
+		until: now.Add(l.life),
+	}
+	l.next++
+	present.grants = append(present.grants, next)
+	customer.outstanding += present.largest()
+	return answerEntry{
+		Customer: entry.Customer,
+		Grant:    next.id,
+		Share:    next.share,
+	}, true
+}
+
+func (l *ledger) account(customer lagoonbarrow.CustomerID) *account {
+	present := l.accounts[customer]
+	if present == nil {
+		present = &account{
+			claims: map[holder]*claim{},
+		}
+		l.accounts[customer] = present
+	}
+	return present
+}
+
+func (a *account) claim(from holder) *claim {
+	present := a.claims[from]
+	if present == nil {
+		present = &claim{}
+		a.claims[from] = present
+	}
+	return present
+}
+
+// sweep drops what has ended and computes the sums anew, which also removes
+// rounding errors.
+func (a *account) sweep(now time.Time, life time.Duration) {
+	if now.Sub(a.swept) < sweepInterval {
+		return
+	}
+	a.swept = now
+	a.demand = 0
+	a.outstanding = 0
+	for from, present := range a.claims {
+		present.expire(now)
+		if len(present.grants) == 0 && now.Sub(present.reported) > life {
+			delete(a.claims, from)
+			continue
+		}
+		a.demand += present.demand
+		a.outstanding += present.largest()
+	}
+}
+
+func (c *claim) expire(now time.Time) {
+	valid := c.grants[:0]
+	for _, present := range c.grants {
+		if now.Before(present.until) {
+			valid = append(valid, present)
+		}
+	}
+	c.grants = valid
+}
+
+func (c *claim) keepOnly(held grantID) {
+	kept := c.grants[:0]
+	for _, present := range c.grants {
+		if present.id == held {
+			kept = append(kept, present)
+		}
+	}
+	c.grants = kept
+}
+
+// largest returns what the holder may be using at most: until it reports
+// again, any of the grants.
+func (c *claim) largest() lagoonbarrow.WorkUnits {
+	largest := lagoonbarrow.WorkUnits(0)
+	for _, present := range c.grants {
+		largest = max(largest, present.share)
+	}
+	return largest
+}
+
+// target returns the share in proportion to the demand. Half of what nobody
+// asked for is handed out as room for growth; the other half is kept for nodes
+// that report next, which would otherwise wait until shares are given back.
+func (a *account) target(demand, rate lagoonbarrow.WorkUnits) lagoonbarrow.WorkUnits {
+	if a.demand <= 0 {
+		return 0
+	}
+	part := demand / a.demand
+	if a.demand >= rate {
+		return rate * part
+	}
+	return demand + (rate-a.demand)/2*part
+}
+
+// clean drops customers without holders and returns the number left.
+func (l *ledger) clean(now time.Time) int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for customer, present := range l.accounts {
+		present.sweep(now, l.life)
+		if len(present.claims) == 0 {
+			delete(l.accounts, customer)
+		}
+	}
+	return len(l.accounts)
+}
--- /dev/null
+++ b/internal/process/quota/quota_test.go
@@ -0,0 +1,189 @@
+package quota
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"lagoonbarrow"
+)
+
+// Guards against a first request that is refused because no share has arrived,
+// also when it costs more than the floor's capacity.
+func TestFirstRequestIsAdmitted(t *testing.T) {
+	w := newWorld(200)
+	if ok, _ := w.node(0).Allow(w.contract, 40); !ok {
+		t.Fatal("the first request was refused")
+	}
+	ok, wait := w.node(0).Allow(w.contract, 40)
+	if ok || wait <= 0 {
+		t.Fatalf("the second request at once: admitted %v, wait %v", ok, wait)
+	}
+	select {
+	case <-w.node(0).urgent:
+	default:
+		t.Fatal("no report was asked for")
+	}
+	w.node(0).round(context.Background(), w.node(0).due(true))
+	if _, found := w.share(w.node(0)); !found {
+		t.Fatal("no share after the urgent report")
+	}
+	if _, shorter := w.node(0).Allow(w.contract, 40); shorter >= wait {
+		t.Errorf("wait %v with a share, %v with the floor", shorter, wait)
+	}
+}
+
+// Guards against customers held at the floor while their owner is down: the
+// second instance in rank grants shares in the same round, and only without
+// any owner does the floor apply.
+func TestOwnerDoesNotAnswer(t *testing.T) {
+	w := newWorld(8)
+	w.second(30)
+	owner, _ := w.node(0).reporter.owners.of(w.now, "acme")
+	asking := 0
+	if owner.ID == w.members[0].ID {
+		asking = 1
+	}
+	demands := make([]int, asking+1)
+	demands[asking] = 30
+	w.silent[owner.Peer] = true
+	w.second(demands...)
+	if _, found := w.share(w.node(asking)); !found {
+		t.Fatal("no share from the second owner")
+	}
+	for _, member := range w.members {
+		w.silent[member.Peer] = true
+		w.views[w.members[asking].ID] = []lagoonbarrow.Instance{owner, member}
+	}
+	for range 4 {
+		w.second(demands...)
+	}
+	if _, found := w.share(w.node(asking)); found {
+		t.Fatal("a share without any owner")
+	}
+	node := w.node(asking)
+	if got := node.buckets["acme"].share(w.now, node.limitsOf(w.contract)); got != testRate/2 {
+		t.Errorf("the floor of 2 live nodes is %v", got)
+	}
+}
+
+// Guards against customers without a rate, and retired ones, that are let
+// through or cause a division by zero.
+func TestNoRate(t *testing.T) {
+	w := newWorld(1)
+	suspended := *w.contract.Contract
+	suspended.WorkUnitsPerSecond = 0
+	cases := []lagoonbarrow.ContractRecord{
+		{
+			Customer: "retired",
+			Retired:  true,
+		},
+		{
+			Customer: "suspended",
+			Contract: &suspended,
+		},
+	}
+	for _, record := range cases {
+		if ok, wait := w.node(0).Allow(record, 1); ok || wait != maxWait {
+			t.Errorf("%s: admitted %v, wait %v", record.Customer, ok, wait)
+		}
+	}
+}
+
+// Guards against buckets that are kept for ever, or dropped in debt so that a
+// new one forgives it.
+func TestIdleBucketsAreDropped(t *testing.T) {
+	w := newWorld(100)
+	w.node(0).Allow(w.contract, 40)
+	w.node(0).buckets["acme"].tokens = -1000
+	w.now = w.now.Add(2 * idleAfter)
+	w.node(0).dropIdle()
+	if len(w.node(0).buckets) != 1 {
+		t.Fatal("a bucket in debt was dropped")
+	}
+	w.now = w.now.Add(20 * idleAfter)
+	w.node(0).dropIdle()
+	if len(w.node(0).buckets) != 0 {
+		t.Fatal("an idle bucket was kept")
+	}
+}
+
+// Guards against goroutines that outlive Stop.
+func TestStop(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	w := newWorld(1)
+	node := w.node(0)
+	node.Start()
+	node.Allow(w.contract, 1)
+	node.Stop()
+}
+
+// Guards against messages of faulty peers that crash a node or grant work
+// without limit.
+func FuzzMessages(f *testing.F) {
+	request, _ := encode(KindRequest, report{
+		Sequence: 1,
+		Entries: []reportEntry{
+			{
+				Customer: "acme",
+				Demand:   5,
+			},
+			{
+				Customer: "acme",
+				Demand:   1e308,
+			},
+		},
+	})
+	reply, _ := encode(KindAnswer, answer{
+		Entries: []answerEntry{
+			{
+				Customer: "acme",
+				Share:    1e308,
+			},
+		},
+	})
+	f.Add(request.Body)
+	f.Add(reply.Body)
+	// An array of 3 billion entries, of which none follows.
+	f.Add([]byte("\x81\xa7entries\xdd\xbd\xbd\xbd\xbd"))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		w := newWorld(2)
+		node := w.node(0)
+		message := lagoonbarrow.Message{
+			Kind: KindRequest,
+			Body: body,
+		}
+		_, _ = node.HandleMessage(context.Background(), "node-1", message)
+		if sum := node.ledger.account("acme").outstanding; !(sum <= testRate*(1+1e-9)) {
+			t.Fatalf("granted %v", sum)
+		}
+		node.Allow(w.contract, 1)
+		for _, batch := range node.prepare(node.due(false)) {
+			if got, err := decodeAnswer(message); err == nil {
+				node.accept(batch, got)
+			}
+		}
+		if share := node.buckets["acme"].share(w.now, node.limitsOf(w.contract)); !(share <= testRate) {
+			t.Fatalf("share %v", share)
+		}
+	})
+}
+
+// Guards against a report whose cost grows with the number of holders: 7,800
+// nodes report one customer to one owner each second.
+func BenchmarkGrant(b *testing.B) {
+	table := newLedger(DefaultShareLife)
+	now := time.Unix(1000, 0)
+	for number := 0; b.Loop(); number++ {
+		now = now.Add(time.Second / 7800)
+		from := holder{
+			process: processID(number % 7800),
+		}
+		table.grant(now, from, uint64(number+1), reportEntry{
+			Customer: "acme",
+			Demand:   1,
+		}, testRate)
+	}
+}
