Send the statuses of many members of a zone as blocks

Cause: 1,560 statuses of a lost availability zone are 32,760 bytes, each sent up to 39 times, which does not fit 3 KB/s; and a seed that served 99 joins stopped probing for three minutes, because its budget could be overdrawn without bound.

--- a/internal/process/roster/budget.go
+++ b/internal/process/roster/budget.go
@@ -14,9 +14,11 @@
 	connectionBytes = 1300
 	exchangeBytes   = 220
 	// connectionIdle is how long a connection without traffic is assumed to
-	// stay open in the connection pool.
-	connectionIdle = 30 * time.Second
-	// budgetBurst is how many seconds' worth of unused budget can be saved up.
+	// stay open; the peer package closes control connections after 5 s.
+	connectionIdle = 5 * time.Second
+	// budgetBurst is how many seconds' worth of unused budget can be saved up, and
+	// of overdrawn budget remembered. The table of 7,800 members that a joining
+	// node reads (about 850 KB) would otherwise stop its seed's probes for minutes.
 	budgetBurst = 4
 )
 
@@ -56,7 +58,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.refill()
-	b.balance -= float64(bytes)
+	b.balance = max(b.balance-float64(bytes), -b.rate*budgetBurst)
 	b.total += int64(bytes)
 }
 
--- a/internal/process/roster/fake_test.go
+++ b/internal/process/roster/fake_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -114,6 +116,7 @@
 	events map[string]int
 	bytes  int
 	heads  map[lagoonbarrow.InstanceID]Gossip
+	tries  map[lagoonbarrow.Address]int
 }
 
 func (n *fakeNode) Record(kind event.Kind, _ event.Fields) {
@@ -128,6 +131,20 @@
 	return n.events[kind.Name]
 }
 
+// headOf returns the last revision heard from an instance.
+func (n *fakeNode) headOf(id lagoonbarrow.InstanceID) Gossip {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.heads[id]
+}
+
+// attempts returns how many messages were sent to an address.
+func (n *fakeNode) attempts(to lagoonbarrow.Address) int {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.tries[to]
+}
+
 func (n *fakeNode) Call(context.Context, lagoonbarrow.Instance, *lagoonbarrow.Call) (*lagoonbarrow.Answer, error) {
 	return nil, lagoonbarrow.ErrNotSent
 }
@@ -139,6 +156,9 @@
 // Send delivers a message 1 ms later each way; to a part that was cut off it
 // waits for its context, as a connection into a partition does.
 func (n *fakeNode) Send(ctx context.Context, to lagoonbarrow.Address, message lagoonbarrow.Message) (lagoonbarrow.Message, error) {
+	n.mutex.Lock()
+	n.tries[to]++
+	n.mutex.Unlock()
 	n.net.mutex.Lock()
 	other, found := n.net.nodes[to]
 	open := found && n.net.reach(n.self, other.self)
@@ -216,6 +236,7 @@
 		peers:  map[lagoonbarrow.Address]bool{},
 		events: map[string]int{},
 		heads:  map[lagoonbarrow.InstanceID]Gossip{},
+		tries:  map[lagoonbarrow.Address]int{},
 	}
 	config := Config{
 		Self:      self,
@@ -323,3 +344,45 @@
 		run(f)
 	})
 }
+
+// fleetSize returns the size of a large fleet: LAGOONBARROW_FLEET for trials,
+// and a size that suits every run of the tests otherwise.
+func fleetSize(standard int) int {
+	if size, err := strconv.Atoi(os.Getenv("LAGOONBARROW_FLEET")); err == nil {
+		return size
+	}
+	return standard
+}
+
+// loseZone kills all instances of an availability zone at once.
+func (f *fleet) loseZone(zone lagoonbarrow.Zone) []lagoonbarrow.InstanceID {
+	var lost []*fakeNode
+	for _, n := range f.nodes {
+		if n.self.Zone == zone {
+			lost = append(lost, n)
+		}
+	}
+	f.setCut(func(from, to lagoonbarrow.Instance) bool {
+		return from.Zone == zone || to.Zone == zone
+	})
+	var ids []lagoonbarrow.InstanceID
+	for _, n := range lost {
+		ids = append(ids, n.self.ID)
+		n.Stop()
+	}
+	f.nodes = slices.DeleteFunc(f.nodes, func(n *fakeNode) bool { return n.self.Zone == zone })
+	return ids
+}
+
+// spent returns the bytes of message bodies and the bytes charged to the
+// budgets so far, over all running nodes.
+func (f *fleet) spent() [2]float64 {
+	var sum [2]float64
+	for _, n := range f.nodes {
+		n.mutex.Lock()
+		sum[0] += float64(n.bytes)
+		n.mutex.Unlock()
+		sum[1] += float64(n.budget.spent())
+	}
+	return sum
+}
--- a/internal/process/roster/maintain.go
+++ b/internal/process/roster/maintain.go
@@ -51,7 +51,9 @@
 			continue
 		}
 		if m.suspectedHere {
+			// A last probe by the node that began the suspicion, with time for it.
 			m.suspectedHere = false
+			m.changed = now.Add(pausedFactor*r.config.ProbeTimeout - limit)
 			own = append(own, m)
 			continue
 		}
@@ -59,7 +61,6 @@
 	}
 	r.table.mutex.Unlock()
 	for _, m := range own {
-		// A last probe by the node that began the suspicion.
 		r.submit(func() {
 			r.probe(ctx, m.ref)
 		})
--- a/internal/process/roster/merge.go
+++ b/internal/process/roster/merge.go
@@ -83,9 +83,10 @@
 
 // insert adds an unknown member. Dead and left members are not added, because
 // nodes that forgot them at different times would return them to each other
-// for ever. The caller holds the table's mutex.
+// for ever. Only a join adds dead members, with the age they have. The caller
+// holds the table's mutex.
 func (r *Roster) insert(ref reference, incoming record, how evidence) bool {
-	if !incoming.Status.live() {
+	if !incoming.Status.live() && (how != fromJoin || incoming.Status.Phase == phaseLeft) {
 		return false
 	}
 	m := &member{
@@ -94,6 +95,7 @@
 	r.table.set(m, r.intern(incoming), time.Now())
 	if how == fromJoin {
 		m.returned = time.Time{}
+		m.changed = m.changed.Add(-incoming.deadFor)
 	}
 	return true
 }
--- a/internal/process/roster/probe.go
+++ b/internal/process/roster/probe.go
@@ -201,12 +201,14 @@
 		Sender: r.ownStatus(),
 		Head:   r.head(),
 	}
-	body.News = r.news(nil)
+	gossip, keys := r.news(nil)
+	body.News = gossip
 	ack, err := r.exchange(ctx, target.Instance, kindProbe, &body)
 	if err != nil {
 		return false
 	}
 	rtt := time.Since(start)
+	r.queue.sent(keys, r.table.size())
 	if ack.Sender.Reference != ref {
 		// Another instance took over the address, so the target is gone.
 		r.takeNews(fromStranger, ack.News)
@@ -226,28 +228,29 @@
 	if s, ok := ack.Sender.status(); ok {
 		r.applyStatus(ref, s, fromSelf)
 	}
-	r.takeNews(how, ack.News)
+	unknown := r.takeNews(how, ack.News)
 	r.gossipFrom(target, ack.Head, transit)
+	body := syncBody{
+		Want: unknown[:min(len(unknown), wantLimit)],
+	}
 	if ack.Want || before.Incarnation != r.ownStatus().Incarnation {
-		r.introduce(ctx, target)
+		own, _ := r.table.lookup(r.selfRef)
+		body.Records = append(body.Records, toWire(own))
+	}
+	if len(body.Want) > 0 || len(body.Records) > 0 {
+		r.followUp(ctx, target, &body)
 	}
 }
 
-// introduce sends this node's full record to a peer that does not know it, or
-// that held it suspect or dead.
-func (r *Roster) introduce(ctx context.Context, peer lagoonbarrow.Instance) {
-	own, _ := r.table.lookup(r.selfRef)
-	body := syncBody{
-		Records: []wireRecord{toWire(own)},
-	}
-	reply, err := r.send(ctx, peer, kindSync, &body)
+// followUp completes a probe: it sends this node's full record to a peer that
+// does not know it or held it suspect or dead, and asks for records of members
+// that the answer named and this node does not know.
+func (r *Roster) followUp(ctx context.Context, peer lagoonbarrow.Instance, body *syncBody) {
+	answer, err := r.sendSync(ctx, peer, kindSync, body)
 	if err != nil {
 		return
 	}
-	var answer syncBody
-	if decode(reply, kindSync, &answer) == nil {
-		r.takeSync(fromStranger, &answer)
-	}
+	r.takeSync(r.evidenceOf(peer.ID), answer)
 }
 
 // heard notes that a member answered this node.
@@ -377,7 +380,9 @@
 		return ack
 	}
 	r.gossipFrom(sender.Instance, body.Head, r.transit())
-	ack.News = r.news(&sender)
+	gossip, keys := r.news(&sender)
+	ack.News = gossip
+	r.queue.sent(keys, r.table.size())
 	return ack
 }
 
--- a/internal/process/roster/queue.go
+++ b/internal/process/roster/queue.go
@@ -19,37 +19,41 @@
 // times that one node sends the same news.
 const retransmissions = 3
 
-// queued is news that waits to be sent.
-type queued struct {
+// newsKey names queued news. Full records wait apart from statuses, so that a
+// status that changes soon after a join is not sent as a full record again.
+type newsKey struct {
 	ref reference
 	// full asks for the whole record instead of its status.
 	full bool
+}
+
+// queued is news that waits to be sent.
+type queued struct {
+	newsKey
 	sent int
 }
 
 // queue holds the news of this node. News that was sent least goes first.
 type queue struct {
 	mutex   sync.Mutex
-	entries map[reference]*queued
+	entries map[newsKey]int
 }
 
 func newQueue() *queue {
 	return &queue{
-		entries: map[reference]*queued{},
+		entries: map[newsKey]int{},
 	}
 }
 
-// add queues news of a member, replacing older news of it.
+// add queues news of a member, replacing older news of it. A full record makes
+// a waiting status superfluous.
 func (q *queue) add(ref reference, full bool) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	if old, found := q.entries[ref]; found {
-		full = full || old.full
-	}
-	q.entries[ref] = &queued{
-		ref:  ref,
-		full: full,
+	if full {
+		delete(q.entries, newsKey{ref: ref})
 	}
+	q.entries[newsKey{ref: ref, full: full}] = 0
 }
 
 func (q *queue) len() int {
@@ -63,8 +67,11 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	list := make([]queued, 0, len(q.entries))
-	for _, entry := range q.entries {
-		list = append(list, *entry)
+	for key, sent := range q.entries {
+		list = append(list, queued{
+			newsKey: key,
+			sent:    sent,
+		})
 	}
 	// The map's random order decides between entries that were sent equally often.
 	slices.SortFunc(list, func(a, b queued) int {
@@ -74,18 +81,18 @@
 }
 
 // sent counts a transmission and drops news that was sent often enough.
-func (q *queue) sent(refs []reference, fleet int) {
+func (q *queue) sent(keys []newsKey, fleet int) {
 	limit := sendLimit(fleet)
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	for _, ref := range refs {
-		entry, found := q.entries[ref]
+	for _, key := range keys {
+		count, found := q.entries[key]
 		if !found {
 			continue
 		}
-		entry.sent++
-		if entry.sent >= limit {
-			delete(q.entries, ref)
+		q.entries[key] = count + 1
+		if count+1 >= limit {
+			delete(q.entries, key)
 		}
 	}
 }
@@ -93,7 +100,8 @@
 func (q *queue) drop(ref reference) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	delete(q.entries, ref)
+	delete(q.entries, newsKey{ref: ref})
+	delete(q.entries, newsKey{ref: ref, full: true})
 }
 
 func sendLimit(fleet int) int {
--- a/internal/process/roster/record.go
+++ b/internal/process/roster/record.go
@@ -125,6 +125,8 @@
 type record struct {
 	Instance lagoonbarrow.Instance
 	Status   status
+	// deadFor is how long a dead instance has been dead, in a join.
+	deadFor time.Duration
 }
 
 // mergeRecords returns the greater of two records of one instance. The order
--- a/internal/process/roster/register.go
+++ b/internal/process/roster/register.go
@@ -220,18 +220,32 @@
 		known[instance.ID] = true
 		result = append(result, instance)
 	}
+	rand.Shuffle(len(result), func(i, j int) {
+		result[i], result[j] = result[j], result[i]
+	})
 	return result, nil
 }
 
-const keyAlphabet = "0123456789abcdefghijklmnopqrstuvwxyz"
+// mutableTail is how many characters at the end of an id randomKey may change.
+const mutableTail = 6
 
-// randomKey returns a key near the ids in use: it keeps a random part of this
-// node's own id. A key of random characters would mostly sort before or after
-// all ids, so that all nodes would choose the same seeds.
+// randomKey returns a key near the ids in use: this node's own id with a random
+// number of characters at its end replaced by others of their kind. A key of
+// random characters would mostly sort before or after all ids, so that all
+// nodes would choose the same seeds.
 func randomKey(id string) string {
-	key := []byte(id[:rand.IntN(len(id))])
-	for range 3 {
-		key = append(key, keyAlphabet[rand.IntN(len(keyAlphabet))])
+	key := []byte(id)
+	tail := 1 + rand.IntN(min(mutableTail, len(key)))
+	for i := len(key) - tail; i < len(key); i++ {
+		switch c := key[i]; {
+		case c >= '0' && c <= '9':
+			key[i] = byte('0' + rand.IntN(10))
+		case c >= 'a' && c <= 'f':
+			key[i] = byte('a' + rand.IntN(6))
+		case c > 'f' && c <= 'z':
+			key[i] = byte('a' + rand.IntN(26))
+		default:
+		}
 	}
 	return string(key)
 }
--- a/internal/process/roster/roster.go
+++ b/internal/process/roster/roster.go
@@ -60,29 +60,31 @@
 }
 
 type counters struct {
-	probes       tally.Counter
-	probeFails   tally.Counter
-	probesPaused tally.Counter
-	refutations  tally.Counter
-	digests      tally.Counter
-	bytes        tally.Counter
-	unknownRefs  tally.Counter
-	members      tally.Gauge
-	pending      tally.Gauge
+	probes        tally.Counter
+	probeFails    tally.Counter
+	probesPaused  tally.Counter
+	refutations   tally.Counter
+	digests       tally.Counter
+	bytes         tally.Counter
+	unknownRefs   tally.Counter
+	blocksIgnored tally.Counter
+	members       tally.Gauge
+	pending       tally.Gauge
 }
 
 func newCounters(scope tally.Scope) counters {
 	scope = scope.SubScope("roster")
 	return counters{
-		probes:       scope.Counter("probes"),
-		probeFails:   scope.Counter("probe-failures"),
-		probesPaused: scope.Counter("probes-held-back"),
-		refutations:  scope.Counter("refutations"),
-		digests:      scope.Counter("digest-exchanges"),
-		bytes:        scope.Counter("bytes"),
-		unknownRefs:  scope.Counter("unknown-references"),
-		members:      scope.Gauge("members"),
-		pending:      scope.Gauge("pending-news"),
+		probes:        scope.Counter("probes"),
+		probeFails:    scope.Counter("probe-failures"),
+		probesPaused:  scope.Counter("probes-held-back"),
+		refutations:   scope.Counter("refutations"),
+		digests:       scope.Counter("digest-exchanges"),
+		bytes:         scope.Counter("bytes"),
+		blocksIgnored: scope.Counter("blocks-ignored"),
+		unknownRefs:   scope.Counter("unknown-references"),
+		members:       scope.Gauge("members"),
+		pending:       scope.Gauge("pending-news"),
 	}
 }
 
--- a/internal/process/roster/sync.go
+++ b/internal/process/roster/sync.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
-	"slices"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -24,9 +24,15 @@
 	wantLimit = 64
 )
 
+// firstDigest is how much sooner than the rest the first digest exchange takes
+// place. It finds the members that joined at the same time as this node.
+const firstDigest = 10
+
 // digestLoop compares this node's table with a random member's.
 func (r *Roster) digestLoop(ctx context.Context) {
-	for sleep(ctx, jitter(r.config.DigestInterval)) {
+	wait := r.config.DigestInterval / firstDigest
+	for sleep(ctx, jitter(wait)) {
+		wait = r.config.DigestInterval
 		if r.budget.left() < 0 {
 			continue
 		}
@@ -160,6 +166,7 @@
 	if len(differing) == 0 {
 		return answer
 	}
+	now := time.Now()
 	shuffleInts(differing)
 	members := t.bucketMembers()
 	size := 0
@@ -175,14 +182,24 @@
 			switch {
 			case !join:
 				answer.Statuses = append(answer.Statuses, statusToWire(m.ref, m.Status))
-			case m.Status.live():
-				answer.Records = append(answer.Records, toWire(m.record))
+			case m.Status.Phase != phaseLeft:
+				answer.Records = append(answer.Records, m.joinRecord(now))
 			}
 		}
 	}
 	return answer
 }
 
+// joinRecord returns a member's record for a joining node, with the time that
+// a dead member has been dead.
+func (m *member) joinRecord(now time.Time) wireRecord {
+	w := toWire(m.record)
+	if m.Status.Verdict == verdictDead {
+		w.DeadSeconds = int64(now.Sub(m.changed) / time.Second)
+	}
+	return w
+}
+
 func limitFor(join bool) int {
 	if join {
 		return joinBytes
@@ -210,11 +227,15 @@
 			known[w.Reference] = s
 		}
 	}
+	var wanted [buckets]bool
+	for _, bucket := range covered {
+		wanted[bucket%buckets] = true
+	}
 	t.mutex.RLock()
 	defer t.mutex.RUnlock()
 	result := &syncBody{}
 	for ref, m := range t.members {
-		if !slices.Contains(covered, uint8(bucketOf(ref))) {
+		if !wanted[bucketOf(ref)] {
 			continue
 		}
 		s, found := known[ref]
--- a/internal/process/roster/table.go
+++ b/internal/process/roster/table.go
@@ -42,6 +42,7 @@
 	hashes   [buckets]uint64
 	live     int
 	suspects map[reference]*member
+	parts    map[partKey]*part
 
 	index   atomic.Pointer[map[lagoonbarrow.ServiceName]*serviceIndex]
 	version atomic.Uint64
@@ -62,6 +63,7 @@
 		members:  map[reference]*member{},
 		services: map[lagoonbarrow.ServiceName][]*member{},
 		suspects: map[reference]*member{},
+		parts:    map[partKey]*part{},
 	}
 	t.index.Store(&map[lagoonbarrow.ServiceName]*serviceIndex{})
 	return t
@@ -92,7 +94,16 @@
 	wasLive := known && before.live()
 	t.hashes[bucketOf(m.ref)] ^= hashWhen(wasLive, m.ref, before) ^ hashOf(m.ref, r.Status)
 	oldService := m.Instance.Service
+	listed := known && before.Phase != phaseLeft
+	listAgain := r.Status.Phase != phaseLeft
+	moved := m.Instance.Zone != r.Instance.Zone || epochOf(before.Incarnation) != epochOf(r.Status.Incarnation)
+	if listed && (!listAgain || moved) {
+		t.leavePart(m)
+	}
 	m.record = r
+	if listAgain && (!listed || moved) {
+		t.enterPart(m)
+	}
 	m.Instance.Incarnation = r.Status.Incarnation
 	m.Instance.State = r.Status.state()
 	if !known || before.Verdict != r.Status.Verdict || before.Phase != r.Status.Phase {
@@ -113,6 +124,7 @@
 	if wasLive && (!isLive || oldService != r.Instance.Service) {
 		t.removeFromService(oldService, m)
 	}
+	// A service may change with a new process of the same id.
 	if isLive && (!wasLive || oldService != r.Instance.Service) {
 		t.services[r.Instance.Service] = append(t.services[r.Instance.Service], m)
 	}
@@ -156,6 +168,7 @@
 	if m.Status.live() {
 		return
 	}
+	t.leavePart(m)
 	delete(t.members, m.ref)
 	delete(t.suspects, m.ref)
 	t.version.Add(1)
--- a/internal/process/roster/wire.go
+++ b/internal/process/roster/wire.go
@@ -1,6 +1,9 @@
 package roster
 
 import (
+	"bytes"
+	"time"
+
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -39,12 +42,15 @@
 	Incarnation lagoonbarrow.Incarnation
 	Phase       phase
 	Verdict     verdict
+	// DeadSeconds is how long a dead instance has been dead, in a join.
+	DeadSeconds int64
 }
 
 // news is the gossip that rides on probes and their answers.
 type news struct {
 	Records  []wireRecord `msgpack:"records,omitempty"`
 	Statuses []wireStatus `msgpack:"statuses,omitempty"`
+	Blocks   []wireBlock  `msgpack:"blocks,omitempty"`
 }
 
 // headGossip is Gossip in a message. AgeMillis is -1 for "never".
@@ -103,6 +109,9 @@
 	More bool `msgpack:"more,omitempty"`
 }
 
+// maxDeadSeconds keeps a damaged age from overflowing a time.Duration.
+const maxDeadSeconds = 1 << 30
+
 func encode(kind string, body any) (lagoonbarrow.Message, error) {
 	raw, err := msgpack.Marshal(body)
 	if err != nil {
@@ -114,11 +123,22 @@
 	}, nil
 }
 
+// maxBodyBytes is the limit of a frame; answers stay well below it.
+const maxBodyBytes = 256 << 10
+
 // decode reads a body of the expected kind. Damaged bodies give ErrInvalid.
 func decode(message lagoonbarrow.Message, kind string, body any) error {
 	if message.Kind != kind {
 		return errors.Wrapf(lagoonbarrow.ErrInvalid, "roster: message kind %q instead of %q", message.Kind, kind)
 	}
+	if len(message.Body) > maxBodyBytes {
+		return errors.Wrapf(lagoonbarrow.ErrTooLarge, "roster: %s of %d bytes", kind, len(message.Body))
+	}
+	// The decoder allocates arrays by their declared length. Skipping over the
+	// body first shows that each declared element is there.
+	if err := msgpack.NewDecoder(bytes.NewReader(message.Body)).Skip(); err != nil {
+		return errors.Wrapf(lagoonbarrow.ErrInvalid, "roster: decode %s: %v", kind, err)
+	}
 	if err := msgpack.Unmarshal(message.Body, body); err != nil {
 		return errors.Wrapf(lagoonbarrow.ErrInvalid, "roster: decode %s: %v", kind, err)
 	}
@@ -146,7 +166,7 @@
 	if w.ID == "" || w.Peer == "" || w.Phase > phaseLeft || w.Verdict > verdictDead {
 		return record{}, false
 	}
-	return newRecord(lagoonbarrow.Instance{
+	r := newRecord(lagoonbarrow.Instance{
 		ID:      w.ID,
 		Service: w.Service,
 		Zone:    w.Zone,
@@ -158,7 +178,9 @@
 		Incarnation: w.Incarnation,
 		Phase:       w.Phase,
 		Verdict:     w.Verdict,
-	}), true
+	})
+	r.deadFor = time.Duration(min(max(w.DeadSeconds, 0), maxDeadSeconds)) * time.Second
+	return r, true
 }
 
 func newRecord(instance lagoonbarrow.Instance, s status) record {
