Bound what a contract message can allocate

Records now travel as the JSON text of their rows in a list with a bounded decoder, which also makes message sizes exact.

--- a/internal/version/contract/decode_test.go
+++ b/internal/version/contract/decode_test.go
@@ -131,6 +131,8 @@
 		message, _ := encodeMessage(KindPush, value)
 		f.Add(message.Body)
 	}
+	// An array of 3 billion records, of which none follows.
+	f.Add([]byte("\x81\xa7records\xdd\xbd\xbd\xbd\xbd"))
 	f.Fuzz(func(_ *testing.T, body []byte) {
 		message := lagoonbarrow.Message{
 			Kind: KindPush,
@@ -166,7 +168,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if strings.Contains(string(message.Body), "KeyHashes") {
+	if !strings.Contains(string(message.Body), "key-hashes") {
 		t.Error("field names are not in kebab-case")
 	}
 	push, err := decodePush(message)
--- a/internal/version/contract/history.go
+++ b/internal/version/contract/history.go
@@ -71,7 +71,7 @@
 	return records, true
 }
 
-// recordSize returns the JSON size, which is slightly above the msgpack size.
+// recordSize returns the size of the record's JSON text, as messages carry it.
 func recordSize(record lagoonbarrow.ContractRecord) int {
 	text, err := json.Marshal(record)
 	if err != nil {
--- a/internal/version/contract/messages.go
+++ b/internal/version/contract/messages.go
@@ -1,7 +1,7 @@
 package contract
 
 import (
-	"bytes"
+	"encoding/json"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,59 +21,102 @@
 // 256 KiB.
 const maxMessageBytes = 224 << 10
 
+// maxMessageRecords is above the number of the smallest records that fit into
+// a message.
+const maxMessageRecords = 4096
+
 // Status tells which contracts are in force on a node.
 type Status struct {
-	Revision lagoonbarrow.Revision `json:"revision"`
+	Revision lagoonbarrow.Revision `msgpack:"revision"`
 	// Ready is set once the contracts were read from the platform.
-	Ready bool `json:"ready"`
+	Ready bool `msgpack:"ready"`
 	// Age is the time since the platform confirmed the revision.
-	Age time.Duration `json:"age"`
+	Age time.Duration `msgpack:"age"`
 }
 
 // pushMessage carries new records. Records may be left out when they are too
 // large for one message; the receiver pulls them.
 type pushMessage struct {
-	Revision lagoonbarrow.Revision         `json:"revision"`
-	Age      time.Duration                 `json:"age"`
-	Forward  bool                          `json:"forward"`
-	Records  []lagoonbarrow.ContractRecord `json:"records"`
+	Revision lagoonbarrow.Revision `msgpack:"revision"`
+	Age      time.Duration         `msgpack:"age"`
+	Forward  bool                  `msgpack:"forward"`
+	Records  recordList            `msgpack:"records"`
 }
 
 type pullRequest struct {
-	After lagoonbarrow.Revision `json:"after"`
+	After lagoonbarrow.Revision `msgpack:"after"`
 }
 
 // pullAnswer carries the records after the requested revision, as many as fit
 // into one message.
 type pullAnswer struct {
-	Revision lagoonbarrow.Revision `json:"revision"`
-	Age      time.Duration         `json:"age"`
-	Ready    bool                  `json:"ready"`
+	Revision lagoonbarrow.Revision `msgpack:"revision"`
+	Age      time.Duration         `msgpack:"age"`
 	// TooOld is set when the peer no longer keeps the records.
-	TooOld  bool                          `json:"too-old"`
-	Records []lagoonbarrow.ContractRecord `json:"records"`
+	TooOld  bool       `msgpack:"too-old"`
+	Records recordList `msgpack:"records"`
+}
+
+// recordList carries records as the JSON text of their rows. Its decoder
+// bounds their number: msgpack v5.4.1 allocates a slice at the length that the
+// message states, up to 4 billion elements, before it reads the first one.
+type recordList []lagoonbarrow.ContractRecord
+
+// EncodeMsgpack writes the records as an array of JSON texts.
+func (l recordList) EncodeMsgpack(encoder *msgpack.Encoder) error {
+	if err := encoder.EncodeArrayLen(len(l)); err != nil {
+		return err
+	}
+	for _, record := range l {
+		text, err := encodeRow(record)
+		if err != nil {
+			return err
+		}
+		if err := encoder.EncodeBytes(text); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// DecodeMsgpack reads at most maxMessageRecords records.
+func (l *recordList) DecodeMsgpack(decoder *msgpack.Decoder) error {
+	count, err := decoder.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	if count > maxMessageRecords {
+		return errors.Wrapf(lagoonbarrow.ErrTooLarge, "contract: %d records", count)
+	}
+	var records recordList
+	for range count {
+		text, err := decoder.DecodeBytes()
+		if err != nil {
+			return err
+		}
+		var record lagoonbarrow.ContractRecord
+		if err := json.Unmarshal(text, &record); err != nil {
+			return err
+		}
+		records = append(records, record)
+	}
+	*l = records
+	return nil
 }
 
-// encodeMessage writes msgpack with the field names of the json tags, so that
-// records have the same names in messages and rows.
 func encodeMessage(kind string, value any) (lagoonbarrow.Message, error) {
-	var buffer bytes.Buffer
-	encoder := msgpack.NewEncoder(&buffer)
-	encoder.SetCustomStructTag("json")
-	encoder.UseCompactInts(true)
-	if err := encoder.Encode(value); err != nil {
+	body, err := msgpack.Marshal(value)
+	if err != nil {
 		return lagoonbarrow.Message{}, errors.Wrapf(err, "contract: encode %s", kind)
 	}
 	return lagoonbarrow.Message{
 		Kind: kind,
-		Body: buffer.Bytes(),
+		Body: body,
 	}, nil
 }
 
 func decodeMessage(message lagoonbarrow.Message, into any) error {
-	decoder := msgpack.NewDecoder(bytes.NewReader(message.Body))
-	decoder.SetCustomStructTag("json")
-	if err := decoder.Decode(into); err != nil {
+	if err := msgpack.Unmarshal(message.Body, into); err != nil {
 		return errors.Wrapf(lagoonbarrow.ErrInvalid, "contract: decode %s: %v", message.Kind, err)
 	}
 	return nil
--- a/internal/version/contract/push.go
+++ b/internal/version/contract/push.go
@@ -124,7 +124,6 @@
 	return encodeMessage(KindPull, pullAnswer{
 		Revision: revision,
 		Age:      age,
-		Ready:    true,
 		TooOld:   !complete,
 		Records:  records,
 	})
