--- a/internal/process/admission/operations.go
+++ b/internal/process/admission/operations.go
@@ -25,8 +25,9 @@
 	// medianWindows is how long a median is kept without enough short calls. Then
 	// it is unknown and no operation is long by measurement.
 	medianWindows = 10
-	// minSamples is the number of calls before an operation is judged.
-	minSamples = 32
+	// minSamples is the number of calls before an operation is judged. More would
+	// let long work fill a small gate for seconds: 32 calls of 0.5 s on 4 slots take 4 s.
+	minSamples = 8
 	// meanWeight is the weight of one call in an operation's mean.
 	meanWeight = 1.0 / 64
 	// clipFactor bounds one call's part in the mean to this many times the median
