--- /dev/null
+++ b/internal/request/budget/ledger_test.go
@@ -0,0 +1,215 @@
+package budget
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"lagoonbarrow"
+)
+
+type manualClock struct {
+	now time.Time
+}
+
+func (c *manualClock) Now() time.Time {
+	return c.now
+}
+
+func openWith(tokens lagoonbarrow.Tokens) lagoonbarrow.Account {
+	return New(Config{}).Open(&lagoonbarrow.Call{
+		ID:     "c",
+		Tokens: tokens,
+	}, time.Time{})
+}
+
+// Guards against tokens that appear or vanish in a sequence of operations.
+func TestTokensAreConserved(t *testing.T) {
+	account := openWith(5)
+	if got := account.Share(); got != 3 {
+		t.Errorf("first share %d of 5", got)
+	}
+	if got := account.Share(); got != 1 {
+		t.Errorf("second share %d of 2", got)
+	}
+	account.Return(100)
+	account.Return(-1)
+	if !account.Spend() {
+		t.Error("no token to spend")
+	}
+	if left := account.Close(); left != 4 {
+		t.Errorf("%d tokens left of 5 after one was spent", left)
+	}
+	if account.Close() != 0 || account.Share() != 0 || account.Spend() {
+		t.Error("a closed account gave tokens")
+	}
+	if left := openWith(-3).Close(); left != 0 {
+		t.Errorf("%d tokens left of -3", left)
+	}
+}
+
+// Guards against repeats that go unnoticed, meant calls that cost a token, and
+// writes that could run twice.
+func TestApplicationRepeats(t *testing.T) {
+	const done, notRun, unknown = lagoonbarrow.OutcomeDone, lagoonbarrow.OutcomeNotRun, lagoonbarrow.OutcomeUnknown
+	type end struct {
+		outcome lagoonbarrow.Outcome
+		failed  bool
+	}
+	cases := []struct {
+		name       string
+		method     string
+		atMostOnce bool
+		// first is the end of the first call; nil while it is running.
+		first *end
+		// key distinguishes the second call.
+		key  string
+		cost lagoonbarrow.Tokens
+		err  error
+	}{
+		{"read again after success", "GET", false, &end{done, false}, "", 0, nil},
+		{"read again while running", "GET", false, nil, "", 1, nil},
+		{"read again after failure", "GET", false, &end{done, true}, "", 1, nil},
+		{"read again, unknown outcome", "GET", false, &end{unknown, true}, "", 1, nil},
+		{"separate read while running", "GET", false, nil, "2", 0, nil},
+		{"write again after success", "POST", false, &end{done, false}, "", 0, nil},
+		{"write again while running", "POST", false, nil, "", 0, lagoonbarrow.ErrOutcomeUnknown},
+		{"separate write while running", "POST", false, nil, "2", 0, nil},
+		{"write again, unknown outcome", "POST", false, &end{unknown, true}, "", 0, lagoonbarrow.ErrOutcomeUnknown},
+		{"write again, not run", "POST", false, &end{notRun, true}, "", 1, nil},
+		{"write again after an error response", "POST", false, &end{done, true}, "", 1, nil},
+		{"at-most-once write again, not run", "POST", true, &end{notRun, true}, "", 1, nil},
+		{"at-most-once write again after an error response", "POST", true, &end{done, true}, "", 0, lagoonbarrow.ErrOutcomeUnknown},
+	}
+	for _, entry := range cases {
+		account := openWith(2)
+		call := &lagoonbarrow.Call{
+			Service:    "registry",
+			Method:     entry.method,
+			Path:       "/resolutions",
+			Body:       []byte("a"),
+			AtMostOnce: entry.atMostOnce,
+		}
+		first, err := account.Begin(call)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if entry.first != nil {
+			first.End(entry.first.outcome, entry.first.failed)
+			first.End(done, false)
+		}
+		if entry.key != "" {
+			call.Header = []lagoonbarrow.HeaderField{{Name: "lagoonbarrow-call-key", Value: entry.key}}
+		}
+		_, err = account.Begin(call)
+		if !errors.Is(err, entry.err) {
+			t.Errorf("%s: %v", entry.name, err)
+		}
+		if cost := 2 - account.Close(); cost != entry.cost {
+			t.Errorf("%s: cost %d", entry.name, cost)
+		}
+	}
+}
+
+// Guards against a table of an account's calls that outgrows its bound, or that
+// admits unrecognised repeats when it is full.
+func TestFullCallTable(t *testing.T) {
+	account := New(Config{
+		CallsPerAccount: 2,
+	}).Open(&lagoonbarrow.Call{
+		Tokens: 1,
+	}, time.Time{})
+	for i, want := range []error{nil, nil, nil, lagoonbarrow.ErrExhausted} {
+		started, err := account.Begin(&lagoonbarrow.Call{Method: "GET", Path: fmt.Sprint(i)})
+		if !errors.Is(err, want) {
+			t.Errorf("call %d: %v", i, err)
+		}
+		if err == nil {
+			started.End(lagoonbarrow.OutcomeDone, true)
+		}
+	}
+}
+
+// Guards against running calls that can't be found, ended ones that can, and a table
+// that outgrows its bound.
+func TestLookup(t *testing.T) {
+	clock := &manualClock{}
+	ledger := New(Config{
+		Accounts: 1,
+		Clock:    clock,
+	})
+	first := ledger.Open(&lagoonbarrow.Call{ID: "1"}, clock.now.Add(time.Second))
+	ledger.Open(&lagoonbarrow.Call{ID: "2"}, clock.now.Add(time.Second))
+	if _, err := ledger.Lookup("2"); !errors.Is(err, lagoonbarrow.ErrNotFound) {
+		t.Errorf("call beyond the bound: %v", err)
+	}
+	if found, err := ledger.Lookup("1"); err != nil || found != first {
+		t.Errorf("running call: %v", err)
+	}
+	clock.now = clock.now.Add(2 * time.Second)
+	third := ledger.Open(&lagoonbarrow.Call{ID: "3"}, clock.now.Add(time.Second))
+	if _, err := ledger.Lookup("3"); err != nil {
+		t.Errorf("call after an overdue one: %v", err)
+	}
+	third.Close()
+	if _, err := ledger.Lookup("3"); !errors.Is(err, lagoonbarrow.ErrNotFound) {
+		t.Errorf("ended call: %v", err)
+	}
+	if _, err := third.Begin(&lagoonbarrow.Call{}); !errors.Is(err, lagoonbarrow.ErrNotFound) {
+		t.Errorf("call of an ended call: %v", err)
+	}
+}
+
+// Guards against a retry that was paid for by its sender and is charged again,
+// and against calls further down a chain that are taken for re-sends.
+func TestKeyedCallsThatAreNoResends(t *testing.T) {
+	ledger := New(Config{})
+	call := &lagoonbarrow.Call{ID: "1", Request: "r", Key: "k", Service: "a"}
+	for _, change := range []func(){
+		func() {},
+		func() { call.ID = "2" },
+		func() { call.ID, call.Request, call.Depth = "3", "other", 2 },
+	} {
+		change()
+		if _, err := ledger.OpenKeyed(call, time.Time{}); err != nil {
+			t.Errorf("%+v: %v", call, err)
+		}
+	}
+	call.ID, call.Request = "4", "another"
+	if _, err := ledger.OpenKeyed(call, time.Time{}); !errors.Is(err, lagoonbarrow.ErrExhausted) {
+		t.Errorf("re-send without tokens: %v", err)
+	}
+}
+
+// Guards against data races and lost tokens when parallel calls share an account.
+func TestConcurrentAccount(t *testing.T) {
+	const tokens = 64
+	account := openWith(tokens)
+	var workers sync.WaitGroup
+	var mu sync.Mutex
+	count := lagoonbarrow.Tokens(0)
+	for worker := range 32 {
+		workers.Add(1)
+		go func() {
+			defer workers.Done()
+			started, err := account.Begin(&lagoonbarrow.Call{Method: "GET", Path: fmt.Sprint(worker)})
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer started.End(lagoonbarrow.OutcomeDone, false)
+			account.Return(account.Share())
+			if account.Spend() {
+				mu.Lock()
+				count++
+				mu.Unlock()
+			}
+		}()
+	}
+	workers.Wait()
+	if left := account.Close(); left+count != tokens {
+		t.Errorf("%d left and %d spent of %d", left, count, tokens)
+	}
+}
