--- a/internal/version/contract/distributor_test.go
+++ b/internal/version/contract/distributor_test.go
@@ -222,3 +222,37 @@
 	node.want(f.members[0].Peer, 5)
 	node.Stop()
 }
+
+// Guards against a node that believes itself up to date after a pull that
+// brought only the first of the missing records.
+func TestPartialPullConfirmsNothing(t *testing.T) {
+	f := newFleet(t, newFakeTable(), 2)
+	f.tickAll()
+	large := testContract("large", testHash(1))
+	for number := 1; number < MaxClasses; number++ {
+		class := large.Classes[0]
+		class.Name = lagoonbarrow.ClassName(fmt.Sprintf("class-%d", number))
+		class.PathPrefix = fmt.Sprintf("/%0*d", MaxPrefixBytes-1, number)
+		large.Classes = append([]lagoonbarrow.Class{class}, large.Classes...)
+	}
+	f.now = f.now.Add(time.Second)
+	const changes = 10
+	for version := range lagoonbarrow.ContractVersion(changes) {
+		if _, err := newTestStore(f.table).Apply(context.Background(), large, version); err != nil {
+			t.Fatal(err)
+		}
+	}
+	f.node(0).submit = func(func()) {}
+	f.node(0).tick(context.Background())
+	if _, err := f.node(1).pull(context.Background(), f.members[0].Peer); err != nil {
+		t.Fatal(err)
+	}
+	revision, age, _ := f.node(1).Gossip()
+	if revision == 0 || revision == changes || age != time.Second {
+		t.Errorf("revision %d, confirmed %v ago", revision, age)
+	}
+	f.gossip(0, 1)
+	if revision, age, _ := f.node(1).Gossip(); revision != changes || age != 0 {
+		t.Errorf("after all pulls: revision %d, confirmed %v ago", revision, age)
+	}
+}
--- a/internal/version/contract/store_test.go
+++ b/internal/version/contract/store_test.go
@@ -166,8 +166,17 @@
 
 // Guards against a change that took effect being reported as a conflict,
 // because its answer was lost and another operator changed the contract before
-// the row was read back.
+// the row was read back; and against a guess when the change rows were trimmed.
 func TestStoreSettlesLostAnswerUnderLaterChange(t *testing.T) {
+	for _, trimmed := range []bool{false, true} {
+		checkLostAnswerUnderLaterChange(t, trimmed)
+	}
+}
+
+func checkLostAnswerUnderLaterChange(t *testing.T, trimmed bool) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
 	table := newFakeTable()
 	first := true
 	table.fault = func() fault {
@@ -179,14 +188,24 @@
 	}
 	store := NewStore(StoreConfig{
 		Table: table,
-		Pause: func(ctx context.Context, _ time.Duration) {
+		Pause: func(context.Context, time.Duration) {
+			if trimmed && len(table.rows[tableChanges]) == 0 {
+				cancel()
+				return
+			}
 			if _, err := newTestStore(table).Apply(ctx, testContract("acme", testHash(2)), 1); err != nil {
 				t.Error(err)
 			}
+			if trimmed {
+				table.trim()
+			}
 		},
 	})
-	record, err := store.Apply(context.Background(), testContract("acme", testHash(1)), 0)
-	if err != nil || record.Version != 1 {
+	record, err := store.Apply(ctx, testContract("acme", testHash(1)), 0)
+	if trimmed && !errors.Is(err, lagoonbarrow.ErrOutcomeUnknown) {
+		t.Fatalf("without change rows: %v", err)
+	}
+	if !trimmed && (err != nil || record.Version != 1) {
 		t.Fatalf("got version %d and error %v", record.Version, err)
 	}
 }
