Don't use a msgpack decoder again after it failed

The fuzz test of connections ran a 31 GB machine out of memory. The decoder keeps its buffer, which grows by up to 1 MiB for each declared length that no bytes back, so hostile frames added up in the library's decoder pool.

The fuzz test now frames its input itself, because random input hardly ever has a right checksum.

--- a/internal/connection/frame/frame_test.go
+++ b/internal/connection/frame/frame_test.go
@@ -156,6 +156,24 @@
 	}
 }
 
+// Guards against memory that grows with every hostile frame, because the decoder's
+// buffer is kept.
+func TestHostileFramesDoNotAddUp(t *testing.T) {
+	const frames = 64
+	body := append([]byte{0x81, 0xa4, 'n', 'a', 'm', 'e', 0xdb}, 0xff, 0xff, 0xff, 0xf0)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range frames {
+		if err := NewReader(bytes.NewReader(framed(body)), 0).Read(&sample{}); err == nil {
+			t.Fatal("the frame was read")
+		}
+	}
+	runtime.ReadMemStats(&after)
+	if grown := after.TotalAlloc - before.TotalAlloc; grown > frames*4<<20 {
+		t.Fatalf("%d bytes were allocated", grown)
+	}
+}
+
 // Guards against input that makes the reader panic, run on, or accept a value that
 // changes when it is written again.
 func FuzzReader(f *testing.F) {
--- a/internal/connection/frame/reader.go
+++ b/internal/connection/frame/reader.go
@@ -28,6 +28,15 @@
 	},
 }
 
+// decoders holds idle decoders. It is not the library's own pool, since a decoder
+// that failed must not be used again: its buffer grows by up to 1 MiB with each
+// declared length that no bytes back, and stays that large.
+var decoders = sync.Pool{
+	New: func() any {
+		return msgpack.NewDecoder(nil)
+	},
+}
+
 // Reader reads frames. Its buffers are reused between frames; decoded values
 // hold copies. A Reader is not safe for concurrent use.
 type Reader struct {
@@ -74,8 +83,15 @@
 	if err != nil {
 		return err
 	}
-	decoder := msgpack.GetDecoder()
-	defer msgpack.PutDecoder(decoder)
+	decoder := decoders.Get().(*msgpack.Decoder)
+	if err := r.decode(decoder, body, value); err != nil {
+		return err
+	}
+	decoders.Put(decoder)
+	return nil
+}
+
+func (r *Reader) decode(decoder *msgpack.Decoder, body []byte, value any) error {
 	// The decoder allocates slices and byte strings by their declared length.
 	// Skipping over the body first shows that the declared lengths are backed by
 	// bytes, so that a short frame can't demand gigabytes.
--- a/internal/connection/peer/answer_test.go
+++ b/internal/connection/peer/answer_test.go
@@ -102,11 +102,11 @@
 				if err != nil {
 					return
 				}
-				var raw bytes.Buffer
-				counted := newConnection(&bufferConn{Buffer: &raw}, 0)
-				counted.append(t, answerFor(call, []byte("12345"))...)
-				counted.flush(t)
-				_, _ = c.raw.Write(row.change(raw.Bytes()))
+				memory := &memoryConn{}
+				encoder := newConnection(memory, 0)
+				encoder.append(t, answerFor(call, []byte("12345"))...)
+				encoder.flush(t)
+				_, _ = c.raw.Write(row.change(memory.output.Bytes()))
 			})
 			answer, err := newClient(t, nil).Call(context.Background(), target, newCall(nil))
 			if answer != nil || !errors.Is(err, lagoonbarrow.ErrAnswerLost) {
@@ -116,14 +116,18 @@
 	}
 }
 
-// bufferConn is a connection that writes to a buffer.
-type bufferConn struct {
+// memoryConn is a connection that reads from and writes to memory.
+type memoryConn struct {
 	net.Conn
-	*bytes.Buffer
+	input  bytes.Reader
+	output bytes.Buffer
 }
 
-func (c *bufferConn) Write(data []byte) (int, error) { return c.Buffer.Write(data) }
-func (c *bufferConn) Read(data []byte) (int, error)  { return c.Buffer.Read(data) }
+func (c *memoryConn) Read(data []byte) (int, error)    { return c.input.Read(data) }
+func (c *memoryConn) Write(data []byte) (int, error)   { return c.output.Write(data) }
+func (c *memoryConn) Close() error                     { return nil }
+func (c *memoryConn) SetReadDeadline(time.Time) error  { return nil }
+func (c *memoryConn) SetWriteDeadline(time.Time) error { return nil }
 
 // Guards against a late frame that is taken for a part of the next call's answer,
 // and against the use of a connection that carries one.
--- a/internal/connection/peer/handshake_test.go
+++ b/internal/connection/peer/handshake_test.go
@@ -3,14 +3,16 @@
 import (
 	"bytes"
 	"context"
+	"encoding/binary"
+	"hash/crc32"
 	"net"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"lagoonbarrow"
-	"lagoonbarrow/internal/connection/frame"
 	"lagoonbarrow/pkg/event"
 )
 
@@ -181,32 +183,67 @@
 	}
 }
 
-// Guards against packets that make either side of a connection panic or run on.
+// separator divides the bodies of a fuzzer's frames; msgpack never uses it.
+const separator = 0xc1
+
+// FuzzConnection guards against packets that make either side of a connection panic
+// or run on, and against a call that is started without its end.
 func FuzzConnection(f *testing.F) {
 	call := newCall([]byte("12345"))
+	call.ID = "c1"
 	seeds := [][]*packet{
 		answerFor(call, []byte("12345")),
-		{{Call: &callHead{Call: *call, BodyBytes: 5}}, {End: endOf(string(call.ID), call.Body)}},
-		{{Message: &message{ID: "1", Kind: "probe"}}, {End: endOf("1", nil)}},
+		{{Call: &callHead{Call: *call, BodyBytes: 5}}, {End: endOf("c1", call.Body)}},
+		{{Message: &message{ID: "1", Kind: "probe"}}},
 		{{Hello: &hello{Version: protocolVersion, Purpose: purposeCalls, Challenge: newChallenge()}}, {Proof: &proof{}}},
 	}
 	for _, seed := range seeds {
-		var raw bytes.Buffer
-		writer := frame.NewWriter(&raw, 0)
+		var bodies [][]byte
 		for _, p := range seed {
-			if err := writer.Write(p); err != nil {
+			body, err := msgpack.Marshal(p)
+			if err != nil {
 				f.Fatal(err)
 			}
+			bodies = append(bodies, body)
 		}
-		f.Add(raw.Bytes())
+		f.Add(bytes.Join(bodies, []byte{separator}))
 	}
-	f.Fuzz(func(_ *testing.T, raw []byte) {
+	handler := callFunc(func(ctx context.Context, call *lagoonbarrow.Call) *lagoonbarrow.Answer {
+		return echo(ctx, call)
+	})
+	server, err := NewServer(ServerConfig{
+		Address: "127.0.0.1:0",
+		PeerKey: testKey,
+		Self:    "callee",
+		Calls:   handler,
+	})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var stream bytes.Buffer
+		for _, body := range bytes.Split(raw, []byte{separator}) {
+			stream.Write(binary.BigEndian.AppendUint32(nil, uint32(len(body))))
+			stream.Write(binary.BigEndian.AppendUint32(nil, crc32.Checksum(body, crc32.MakeTable(crc32.Castagnoli))))
+			stream.Write(body)
+		}
 		open := func() *connection {
-			return newConnection(&bufferConn{Buffer: bytes.NewBuffer(bytes.Clone(raw))}, 0)
+			memory := &memoryConn{}
+			memory.input.Reset(stream.Bytes())
+			return newConnection(memory, 0)
 		}
 		_ = open().welcome(testIdentity, func(purpose) bool { return true })
 		_ = open().greet(testIdentity, purposeCalls)
-		_, _ = open().receiveAnswer(call.ID, 1<<20)
-		_, _ = receiveCall(open())
+		if answer, err := open().receiveAnswer("c1", 1<<20); err == nil && answer.Call != "c1" {
+			t.Fatal("another call's answer was delivered")
+		}
+		for _, use := range []purpose{purposeCalls, purposeControl} {
+			c := open()
+			c.purpose = use
+			_ = newSession(server, c).run()
+		}
+		if server.buffered.Load() != 0 {
+			t.Fatal("buffered bytes were counted wrong")
+		}
 	})
 }
