Export the bounded msgpack decoder for bodies of control messages

Message bodies come from other processes, and msgpack.Unmarshal allocates slices by their declared length. frame.Unmarshal checks first that bytes back all lengths; the frame reader uses the same code.

--- a/internal/connection/frame/reader.go
+++ b/internal/connection/frame/reader.go
@@ -2,14 +2,12 @@
 
 import (
 	"bufio"
-	"bytes"
 	"encoding/binary"
 	"hash/crc32"
 	"io"
 	"sync"
 
 	"github.com/pkg/errors"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"lagoonbarrow"
 )
@@ -28,24 +26,14 @@
 	},
 }
 
-// decoders holds idle decoders. It is not the library's own pool, since a decoder
-// that failed must not be used again: its buffer grows by up to 1 MiB with each
-// declared length that no bytes back, and stays that large.
-var decoders = sync.Pool{
-	New: func() any {
-		return msgpack.NewDecoder(nil)
-	},
-}
-
 // Reader reads frames. Its buffers are reused between frames; decoded values
 // hold copies. A Reader is not safe for concurrent use.
 type Reader struct {
 	in    *bufio.Reader
 	limit int
 	// body is a large buffer from bodies, or nil.
-	body   *[]byte
-	small  []byte
-	source bytes.Reader
+	body  *[]byte
+	small []byte
 }
 
 // NewReader returns a reader that accepts frame bodies of at most limit bytes;
@@ -83,32 +71,7 @@
 	if err != nil {
 		return err
 	}
-	decoder := decoders.Get().(*msgpack.Decoder)
-	if err := r.decode(decoder, body, value); err != nil {
-		return err
-	}
-	decoders.Put(decoder)
-	return nil
-}
-
-func (r *Reader) decode(decoder *msgpack.Decoder, body []byte, value any) error {
-	// The decoder allocates slices and byte strings by their declared length.
-	// Skipping over the body first shows that the declared lengths are backed by
-	// bytes, so that a short frame can't demand gigabytes.
-	r.source.Reset(body)
-	decoder.Reset(&r.source)
-	if err := decoder.Skip(); err != nil {
-		return errors.Wrap(lagoonbarrow.ErrFrame, "frame: decode: "+err.Error())
-	}
-	if r.source.Len() != 0 {
-		return errors.Wrap(lagoonbarrow.ErrFrame, "frame: bytes after the body")
-	}
-	r.source.Reset(body)
-	decoder.Reset(&r.source)
-	if err := decoder.Decode(value); err != nil {
-		return errors.Wrap(lagoonbarrow.ErrFrame, "frame: decode: "+err.Error())
-	}
-	return nil
+	return Unmarshal(body, value)
 }
 
 // next returns the next body, which is valid until the following call.
