Join separate fleets within seconds of a common start

Cause: nodes that start at the same time may join through each other in circles; each circle was a fleet of its own until the heal interval of a minute had passed. Ruled out: nodes not ready (all were), lost news (the digest exchange can't help between fleets that know nothing of each other). Change: four early looks at the platform's rows, and all unseen rows are probed, not only the first. Requests with a caller's key send all tokens to the key's owner, so that re-sends meet one budget. The retry and filing proofs run on this fleet.

--- /dev/null
+++ b/internal/history/filing_test.go
@@ -0,0 +1,206 @@
+package history
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"lagoonbarrow"
+	"lagoonbarrow/internal/standin/backend"
+	"lagoonbarrow/internal/standin/platform"
+)
+
+// filing is one try at a filing and what its caller heard.
+type filing struct {
+	key    string
+	answer response
+}
+
+// filings collects tries from concurrent callers.
+type filings struct {
+	mu    sync.Mutex
+	tries []filing
+}
+
+func (f *filings) add(try filing) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.tries = append(f.tries, try)
+}
+
+// Guards against filings that are doubled, refused as "not run" although they
+// ran, or answered with another filing's answer: the same keys are sent again
+// and again through several nodes while nodes are killed and frozen, and the
+// platform is down, slow, or loses answers after the write took effect.
+func TestPropertyFilingsRunAtMostOnce(t *testing.T) {
+	forSeeds(t, 3, func(t *testing.T, random *rand.Rand) {
+		f := startFleet(t, "",
+			serviceSpec{
+				name:        "minutes",
+				instances:   4,
+				slots:       20,
+				serviceTime: 20 * time.Millisecond,
+				downstream:  []lagoonbarrow.ServiceName{"registry"},
+			},
+			serviceSpec{
+				name:        "registry",
+				instances:   2,
+				slots:       10,
+				serviceTime: 5 * time.Millisecond,
+			},
+		)
+		f.apply(contractFor("residents", apiKey))
+		var history filings
+		stop := make(chan struct{})
+		var callers sync.WaitGroup
+		for caller := range 12 {
+			callers.Add(1)
+			picks := rand.New(rand.NewPCG(random.Uint64(), uint64(caller)))
+			go func() {
+				defer callers.Done()
+				f.fileUntil(stop, picks, &history)
+			}()
+		}
+		f.disturb(random, 6*time.Second)
+		close(stop)
+		callers.Wait()
+		f.settle()
+		f.checkFilings(history.tries)
+	})
+}
+
+// fileUntil sends filings. A small set of keys, new each second, makes callers
+// collide on keys that have not run yet.
+func (f *fleet) fileUntil(stop chan struct{}, random *rand.Rand, history *filings) {
+	entries := f.of("minutes")
+	started := time.Now()
+	for {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		key := fmt.Sprintf("resolution-%d-%d", int(time.Since(started).Seconds()), random.IntN(60))
+		ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+		answer := entries[random.IntN(len(entries))].do(ctx, call{
+			method: "POST",
+			path:   "/filing/" + key,
+			key:    key,
+			body:   "signed " + key,
+		})
+		cancel()
+		history.add(filing{
+			key:    key,
+			answer: answer,
+		})
+		time.Sleep(time.Duration(random.IntN(20)) * time.Millisecond)
+	}
+}
+
+// disturb injects faults for the given time.
+func (f *fleet) disturb(random *rand.Rand, duration time.Duration) {
+	entries := f.of("minutes")
+	end := time.Now().Add(duration)
+	for time.Now().Before(end) {
+		node := entries[random.IntN(len(entries))]
+		switch random.IntN(6) {
+		case 0:
+			node.kill()
+			time.Sleep(300 * time.Millisecond)
+			node.start()
+		case 1:
+			node.freeze()
+			time.Sleep(time.Duration(200+random.IntN(3500)) * time.Millisecond)
+			node.thaw()
+		case 2:
+			f.platform.SetFaults(platform.Faults{
+				Down: platform.DownRefuse,
+			})
+			time.Sleep(400 * time.Millisecond)
+		case 3:
+			f.platform.SetFaults(platform.Faults{
+				LoseAnswers: 0.4,
+				LoseReads:   0.2,
+				Seed:        random.Uint64(),
+			})
+			time.Sleep(800 * time.Millisecond)
+		case 4:
+			f.platform.SetFaults(platform.Faults{
+				DelayWrites:      lagoonbarrow.Duration(900 * time.Millisecond),
+				DelayProbability: 0.4,
+				Seed:             random.Uint64(),
+			})
+			time.Sleep(800 * time.Millisecond)
+		case 5:
+			for _, entry := range entries {
+				entry.backend.Switch(func(s *backend.Switches) { s.Cut = 0.3 })
+			}
+			time.Sleep(400 * time.Millisecond)
+			for _, entry := range entries {
+				entry.backend.Switch(func(s *backend.Switches) { s.Cut = 0 })
+			}
+		}
+		f.platform.SetFaults(platform.Faults{})
+		time.Sleep(time.Duration(random.IntN(200)) * time.Millisecond)
+	}
+}
+
+// settle waits until runs that outlived their callers have ended.
+func (f *fleet) settle() {
+	time.Sleep(3500 * time.Millisecond)
+}
+
+func (f *fleet) checkFilings(tries []filing) {
+	f.t.Helper()
+	runsOfKey := map[string]int{}
+	ranRequests := map[string]bool{}
+	for _, node := range f.of("minutes") {
+		for _, run := range node.backend.Runs() {
+			runsOfKey[run.Key]++
+			ranRequests[string(run.Request)] = true
+		}
+	}
+	for key, count := range runsOfKey {
+		if count > 1 {
+			f.t.Errorf("%s ran %d times", key, count)
+		}
+	}
+	outcomes := map[string]int{}
+	bodies := map[string]string{}
+	for _, try := range tries {
+		outcomes[outcomeOf(try.answer)]++
+		f.checkTry(try, ranRequests, bodies)
+	}
+	f.t.Logf("%d tries, %d keys ran, heard %v", len(tries), len(runsOfKey), outcomes)
+	if outcomes["done"] == 0 {
+		f.t.Error("no filing succeeded, so nothing was proved")
+	}
+}
+
+func outcomeOf(answer response) string {
+	if answer.err != nil {
+		return "no answer"
+	}
+	return answer.outcome
+}
+
+func (f *fleet) checkTry(try filing, ranRequests map[string]bool, bodies map[string]string) {
+	f.t.Helper()
+	answer := try.answer
+	if answer.err != nil {
+		return
+	}
+	if answer.outcome == string(lagoonbarrow.OutcomeNotRun) && ranRequests[answer.request] {
+		f.t.Errorf("%s: request %s was told not run (%s) and ran", try.key, answer.request, answer.reason)
+	}
+	if answer.outcome != string(lagoonbarrow.OutcomeDone) || answer.status != 200 {
+		return
+	}
+	if earlier, found := bodies[try.key]; found && earlier != string(answer.body) {
+		f.t.Errorf("%s got two different answers:\n%s\n%s", try.key, earlier, answer.body)
+	}
+	bodies[try.key] = string(answer.body)
+}
--- a/internal/history/fleet_test.go
+++ b/internal/history/fleet_test.go
@@ -142,7 +142,9 @@
 			f.addNode(service, position)
 		}
 	}
+	started := time.Now()
 	f.awaitMembers(len(f.nodes))
+	t.Logf("%d nodes know each other after %s", len(f.nodes), time.Since(started).Round(time.Millisecond))
 	return f
 }
 
@@ -203,18 +205,32 @@
 	return node
 }
 
-// freePorts returns loopback addresses that were free a moment ago.
+// The ports that nodes listen on lie below the range from which systems take
+// the ports of outgoing connections, so that none is taken while a node restarts.
+const (
+	firstPort = 10000
+	lastPort  = 30000
+)
+
+// usedPorts are the ports given out by this test process.
+var usedPorts sync.Map
+
+// freePorts returns loopback addresses that are free.
 func freePorts(t *testing.T, count int) []lagoonbarrow.Address {
 	t.Helper()
-	addresses := make([]lagoonbarrow.Address, count)
-	for position := range addresses {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	var addresses []lagoonbarrow.Address
+	for len(addresses) < count {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		if _, used := usedPorts.LoadOrStore(port, true); used {
+			continue
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		listener, err := net.Listen("tcp", address)
 		if err != nil {
-			t.Fatal(err)
+			continue
 		}
-		// Held until all are chosen, so that no port is chosen twice.
-		defer listener.Close()
-		addresses[position] = lagoonbarrow.Address(listener.Addr().String())
+		_ = listener.Close()
+		addresses = append(addresses, lagoonbarrow.Address(address))
 	}
 	return addresses
 }
--- /dev/null
+++ b/internal/history/retry_test.go
@@ -0,0 +1,163 @@
+package history
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"lagoonbarrow"
+	"lagoonbarrow/internal/standin/backend"
+)
+
+// tokens is what contractFor gives to look-ups.
+const tokens = 3
+
+// chain returns services that each call the next one.
+func chain(depth, instances int, service serviceSpec) []serviceSpec {
+	services := make([]serviceSpec, depth)
+	for position := range services {
+		services[position] = service
+		services[position].name = fmt.Sprintf("hop%d", position+1)
+		services[position].instances = instances
+		if position+1 < depth {
+			services[position].downstream = []lagoonbarrow.ServiceName{
+				lagoonbarrow.ServiceName(fmt.Sprintf("hop%d", position+2)),
+			}
+		}
+	}
+	return services
+}
+
+// failures are ways in which the deepest service fails.
+var failures = []struct {
+	name   string
+	change func(*backend.Switches)
+}{
+	{
+		name:   "answers 503 without an outcome",
+		change: func(s *backend.Switches) { s.Plain503 = true },
+	},
+	{
+		name:   "answers 500",
+		change: func(s *backend.Switches) { s.Fail = 1 },
+	},
+	{
+		name:   "cuts its answers",
+		change: func(s *backend.Switches) { s.Cut = 1 },
+	},
+	{
+		name:   "refuses as not run",
+		change: func(s *backend.Switches) { s.Shed = true },
+	},
+	{
+		name:   "hangs",
+		change: func(s *backend.Switches) { s.Hang = true },
+	},
+}
+
+// Guards against retries that multiply from hop to hop: the deepest service
+// fails in every way, the nodes, the applications and the callers retry, and
+// no service may run a request more often than once and its tokens.
+func TestPropertyRetriesAreBounded(t *testing.T) {
+	depths := []struct {
+		depth     int
+		instances int
+		seeds     int
+	}{
+		{
+			depth:     4,
+			instances: 2,
+			seeds:     2,
+		},
+		{
+			depth:     24,
+			instances: 1,
+			seeds:     1,
+		},
+	}
+	for _, current := range depths {
+		t.Run(fmt.Sprintf("depth-%d", current.depth), func(t *testing.T) {
+			forSeeds(t, current.seeds, func(t *testing.T, random *rand.Rand) {
+				checkRetries(t, random, current.depth, current.instances)
+			})
+		})
+	}
+}
+
+func checkRetries(t *testing.T, random *rand.Rand, depth, instances int) {
+	f := startFleet(t, "", chain(depth, instances, serviceSpec{
+		slots:       20,
+		serviceTime: time.Millisecond,
+		retries:     3,
+	})...)
+	f.apply(contractFor("residents", apiKey))
+	deepest := fmt.Sprintf("hop%d", depth)
+	for position, failure := range failures {
+		prefix := fmt.Sprintf("/lookup/%d-", position)
+		for _, node := range f.of(deepest) {
+			node.backend.Switch(func(s *backend.Switches) {
+				*s = backend.Switches{}
+				failure.change(s)
+			})
+		}
+		f.callHard(random, prefix, 10)
+		f.checkRuns(failure.name, prefix)
+	}
+}
+
+// callHard makes look-ups that re-send each failed request three times through
+// other entry nodes.
+func (f *fleet) callHard(random *rand.Rand, prefix string, count int) {
+	entries := f.of(f.nodes[0].service.name)
+	var callers sync.WaitGroup
+	for position := range count {
+		order := random.Perm(len(entries))
+		callers.Add(1)
+		go func() {
+			defer callers.Done()
+			path := fmt.Sprintf("%s%d", prefix, position)
+			for attempt := range 4 {
+				ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
+				answer := entries[order[attempt%len(order)]].do(ctx, call{
+					method:     "GET",
+					path:       path,
+					requestKey: "key-" + path[len("/lookup/"):],
+				})
+				cancel()
+				if answer.err == nil && answer.status < 500 {
+					return
+				}
+			}
+		}()
+	}
+	callers.Wait()
+}
+
+// checkRuns checks that no service ran a request more often than 1 + tokens.
+func (f *fleet) checkRuns(failure, prefix string) {
+	f.t.Helper()
+	runs := map[string]map[string]int{}
+	for _, node := range f.nodes {
+		if runs[node.service.name] == nil {
+			runs[node.service.name] = map[string]int{}
+		}
+		for _, run := range node.backend.Runs() {
+			if len(run.Path) > len(prefix) && run.Path[:len(prefix)] == prefix {
+				runs[node.service.name][run.Path]++
+			}
+		}
+	}
+	most := 0
+	for service, paths := range runs {
+		for path, count := range paths {
+			most = max(most, count)
+			if count > 1+tokens {
+				f.t.Errorf("deepest service %s: %s ran %s %d times, more than 1 + %d", failure, service, path, count, tokens)
+			}
+		}
+	}
+	f.t.Logf("deepest service %s: at most %d runs of one request at one service", failure, most)
+}
--- a/internal/process/roster/maintain.go
+++ b/internal/process/roster/maintain.go
@@ -81,8 +81,25 @@
 // heal interval. Larger fleets share that load of 1,000 reads a minute.
 const seedFleet = 1000
 
+// earlyHealRounds are the waits before the first looks for unseen members.
+// Nodes that start at the same time may join through each other in circles and
+// form separate fleets; 2 of 12 common starts of 9 nodes did so, until the heal
+// interval of a minute had passed.
+var earlyHealRounds = []time.Duration{
+	500 * time.Millisecond,
+	time.Second,
+	2 * time.Second,
+	4 * time.Second,
+}
+
 // healLoop looks for members that this node lost sight of.
 func (r *Roster) healLoop(ctx context.Context) {
+	for _, wait := range earlyHealRounds {
+		if !sleep(ctx, jitter(wait)) {
+			return
+		}
+		r.probeSeeds(ctx)
+	}
 	for sleep(ctx, jitter(r.config.HealInterval)) {
 		r.forget(time.Now())
 		r.probeDead(ctx)
@@ -104,9 +121,9 @@
 	}
 }
 
-// probeSeeds reads some rows and probes one whose instance is not live here.
+// probeSeeds reads some rows and probes the instances that are not live here.
 func (r *Roster) probeSeeds(ctx context.Context) {
-	seeds, err := r.seeds(ctx, defaultSeedRows/2)
+	seeds, err := r.seeds(ctx, defaultSeedRows)
 	if err != nil {
 		return
 	}
@@ -120,7 +137,6 @@
 		})
 		if r.probeDirect(ctx, target) {
 			r.exchangeDigests(ctx, seed)
-			return
 		}
 	}
 }
@@ -153,7 +169,7 @@
 		case <-ctx.Done():
 			return
 		case <-r.restore:
-			if err := r.writeRow(ctx); err != nil {
+			if err := r.ensureRow(ctx); err != nil {
 				r.config.Logger.Warn("own row was not restored", "error", err)
 			}
 		case <-tick.C:
--- a/internal/request/call/caller.go
+++ b/internal/request/call/caller.go
@@ -130,7 +130,7 @@
 	sent := *a.call
 	sent.ID = lagoonbarrow.NewCallID()
 	sent.Remaining = remaining
-	sent.Tokens = a.account.Share()
+	sent.Tokens = a.share()
 	sent.ExpectedRow = a.expected
 	sent.Stamp = a.caller.config.Clock.Now()
 	if sent.Attempt != "" {
@@ -149,6 +149,20 @@
 	return answer
 }
 
+// share takes the tokens that travel with an attempt. A request that its caller
+// may re-send under a key leaves none behind, so that its owner alone counts
+// the retries of all re-sends; kept back tokens would come anew with each.
+func (a *attempts) share() lagoonbarrow.Tokens {
+	tokens := a.account.Share()
+	if a.call.Key == "" || a.call.Attempt != "" {
+		return tokens
+	}
+	for more := a.account.Share(); more > 0; more = a.account.Share() {
+		tokens += more
+	}
+	return tokens
+}
+
 // settle turns a lost answer into an outcome and gives back unused tokens.
 func (a *attempts) settle(ctx context.Context, sent *lagoonbarrow.Call, answer *lagoonbarrow.Answer, err error) *lagoonbarrow.Answer {
 	if err == nil {
