Enforce customers' rates at entry, by importance

Cause: the entry admitted any amount of work. Change: the node runs the quota; the entry asks for the class's work units and level, so that a customer over its rate loses deferrable requests first.

--- a/interfaces.go
+++ b/interfaces.go
@@ -253,9 +253,10 @@
 
 // Quota holds the customers' rate limits on this node.
 type Quota interface {
-	// Allow takes work units and reports whether they were available. If not,
-	// the duration tells when to try again.
-	Allow(record ContractRecord, units WorkUnits) (bool, time.Duration)
+	// AllowLevel takes work units and reports whether they were available. If
+	// not, the duration tells when to try again. A customer over its rate is
+	// refused deferrable requests first and critical ones last.
+	AllowLevel(record ContractRecord, units WorkUnits, level Importance) (bool, time.Duration)
 }
 
 // Clock is a hybrid logical clock, which orders events over all processes.
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -17,6 +17,7 @@
 	"lagoonbarrow/internal/process/admission"
 	"lagoonbarrow/internal/process/metrics"
 	"lagoonbarrow/internal/process/platform"
+	"lagoonbarrow/internal/process/quota"
 	"lagoonbarrow/internal/process/roster"
 	"lagoonbarrow/internal/process/route"
 	"lagoonbarrow/internal/process/settings"
@@ -56,7 +57,7 @@
 	gate        *admission.Gate
 	ledger      *budget.Ledger
 	router      *route.Router
-	quota       lagoonbarrow.Quota
+	quota       *quota.Quota
 	claims      *claim.Claims
 	backend     *backend.Client
 	handler     *call.Handler
@@ -178,18 +179,16 @@
 		Scope:        n.scope.SubScope("contract"),
 		HeadInterval: n.settings.HeadInterval,
 	})
-	n.quota = unlimited{}
+	n.quota = quota.New(quota.Config{
+		Roster:    n.roster,
+		Transport: n.transport,
+		Contracts: n.registry,
+		Recorder:  n.timeline,
+		Scope:     n.scope.SubScope("quota"),
+	})
 	return nil
 }
 
-// unlimited admits all work until customer limits are shared between nodes.
-type unlimited struct{}
-
-// Allow implements lagoonbarrow.Quota.
-func (unlimited) Allow(lagoonbarrow.ContractRecord, lagoonbarrow.WorkUnits) (bool, time.Duration) {
-	return true, 0
-}
-
 func (n *Node) connectedPeers() []lagoonbarrow.Address {
 	return n.server.Connected()
 }
@@ -330,7 +329,7 @@
 
 func (n *Node) messageHandlers() map[string]lagoonbarrow.MessageHandler {
 	handlers := map[string]lagoonbarrow.MessageHandler{}
-	for _, part := range []messageHandler{n.roster, n.distributor} {
+	for _, part := range []messageHandler{n.roster, n.distributor, n.quota} {
 		for _, kind := range part.Kinds() {
 			handlers[kind] = part
 		}
@@ -359,6 +358,7 @@
 		return errors.Wrap(err, "node: start roster")
 	}
 	n.distributor.Start()
+	n.quota.Start()
 	n.startHealth()
 	return nil
 }
--- a/internal/request/entry/customer.go
+++ b/internal/request/entry/customer.go
@@ -212,7 +212,7 @@
 	if !l.thresholds.admits(accepted.thresholdKey(), accepted.root.Priority) {
 		return lagoonbarrow.ReasonShed, time.Second
 	}
-	allowed, wait := l.config.Quota.Allow(accepted.record, accepted.class.WorkUnits)
+	allowed, wait := l.config.Quota.AllowLevel(accepted.record, accepted.class.WorkUnits, accepted.class.Importance())
 	if !allowed {
 		return lagoonbarrow.ReasonQuota, wait
 	}
