Let the roster outlive the context of Start and bound its repairs

Cause: a cancelled signal context ended the probes before a leave had spread; restored rows were written even when they were still there; a node that started together with its seeds waited 30 s for its first repair. Change: background work ends with Stop only, rows are read before they are restored, early digest exchanges with doubling waits, default suspicion time in probe intervals, benchmarks at 7,800 members.

--- /dev/null
+++ b/internal/process/roster/bench_test.go
@@ -0,0 +1,169 @@
+package roster
+
+import (
+	"context"
+	"runtime"
+	"testing"
+	"time"
+
+	"lagoonbarrow"
+)
+
+// benchFleet is the fleet that the design plans for.
+const benchFleet = 7800
+
+// directTransport hands messages to one other roster, as if it were each peer.
+type directTransport struct {
+	nullTransport
+	self  lagoonbarrow.InstanceID
+	other *Roster
+	bytes int
+}
+
+func (d *directTransport) Send(ctx context.Context, _ lagoonbarrow.Address, message lagoonbarrow.Message) (lagoonbarrow.Message, error) {
+	reply, err := d.other.HandleMessage(ctx, d.self, message)
+	d.bytes += len(message.Body) + len(reply.Body)
+	return reply, err
+}
+
+// fullRoster returns a roster that knows the whole fleet.
+func fullRoster(b *testing.B) *Roster {
+	r := offline(b)
+	for i := 1; i < benchFleet; i++ {
+		known, _ := fromWire(sampleRecord(i))
+		r.applyRecord(known, fromJoin)
+	}
+	return r
+}
+
+// pair returns a roster that reaches another one under the address of member 1.
+func pair(b *testing.B) (*Roster, *directTransport) {
+	other := fullRoster(b)
+	other.selfRef = referenceOf(testInstance(1, 5).ID)
+	r := fullRoster(b)
+	transport := &directTransport{
+		self:  r.config.Self.ID,
+		other: other,
+	}
+	r.config.Transport = transport
+	known, _ := fromWire(toWire(newRecord(r.Self(), status{Incarnation: r.Self().Incarnation})))
+	other.table.set(other.table.members[r.selfRef], known, time.Now())
+	return r, transport
+}
+
+// suspectZone queues the loss of an availability zone of 1,560 members.
+func suspectZone(r *Roster) {
+	for i := 3; i < benchFleet; i += 5 {
+		w := sampleRecord(i)
+		r.applyStatus(referenceOf(w.ID), status{
+			Incarnation: w.Incarnation,
+			Phase:       w.Phase,
+			Verdict:     verdictSuspect,
+		}, fromProbe)
+	}
+}
+
+func benchmarkProbe(b *testing.B, prepare func(r, other *Roster)) {
+	r, transport := pair(b)
+	target, _ := r.table.lookup(transport.other.selfRef)
+	b.ReportAllocs()
+	transport.bytes = 0
+	for b.Loop() {
+		prepare(r, transport.other)
+		if !r.probeDirect(b.Context(), target) {
+			b.Fatal("no answer")
+		}
+		r.sweep(b.Context(), time.Now(), time.Second)
+	}
+	b.ReportMetric(float64(transport.bytes)/float64(b.N), "body-bytes/op")
+}
+
+// BenchmarkProbePeriod is one probe at both ends: what one node spends in a
+// probe period, because it sends one probe and answers one on average.
+func BenchmarkProbePeriod(b *testing.B) {
+	benchmarkProbe(b, func(*Roster, *Roster) {})
+}
+
+// BenchmarkProbePeriodZoneLoss is the same while the loss of an availability
+// zone waits to be sent by both ends.
+func BenchmarkProbePeriodZoneLoss(b *testing.B) {
+	first := true
+	benchmarkProbe(b, func(r, other *Roster) {
+		if first {
+			suspectZone(r)
+			suspectZone(other)
+			first = false
+		}
+		for _, each := range []*Roster{r, other} {
+			// Keeps the news waiting, however many messages are sent.
+			for key := range each.queue.entries {
+				each.queue.entries[key] = 0
+			}
+			each.budget.balance = 0
+		}
+	})
+}
+
+// BenchmarkDigestExchange compares equal tables, which is the usual case.
+func BenchmarkDigestExchange(b *testing.B) {
+	r, transport := pair(b)
+	r.exchangeDigests(b.Context(), testInstance(1, 5))
+	transport.bytes = 0
+	b.ReportAllocs()
+	for b.Loop() {
+		r.exchangeDigests(b.Context(), testInstance(1, 5))
+	}
+	b.ReportMetric(float64(transport.bytes)/float64(b.N), "body-bytes/op")
+}
+
+// BenchmarkDigestExchangeDiffering compares tables with one differing bucket.
+func BenchmarkDigestExchangeDiffering(b *testing.B) {
+	r, transport := pair(b)
+	r.exchangeDigests(b.Context(), testInstance(1, 5))
+	transport.bytes = 0
+	incarnation := sampleRecord(7).Incarnation
+	b.ReportAllocs()
+	for b.Loop() {
+		incarnation++
+		r.applyStatus(referenceOf(sampleRecord(7).ID), status{
+			Incarnation: incarnation,
+			Phase:       phaseReady,
+		}, fromSelf)
+		r.exchangeDigests(b.Context(), testInstance(1, 5))
+	}
+	b.ReportMetric(float64(transport.bytes)/float64(b.N), "body-bytes/op")
+}
+
+// BenchmarkInstances is the look-up on the request path.
+func BenchmarkInstances(b *testing.B) {
+	r := fullRoster(b)
+	b.ReportAllocs()
+	for b.Loop() {
+		if len(r.Instances("service-100")) != 6 {
+			b.Fatal("wrong number of instances")
+		}
+	}
+}
+
+// BenchmarkTableMemory reports the heap that a table of the whole fleet holds,
+// and with a list of live instances taken from it.
+func BenchmarkTableMemory(b *testing.B) {
+	for b.Loop() {
+		before := heap()
+		r := fullRoster(b)
+		after := heap()
+		list := r.Live()
+		withList := heap()
+		b.ReportMetric(float64(after-before), "table-bytes")
+		b.ReportMetric(float64(withList-after), "live-list-bytes")
+		runtime.KeepAlive(list)
+		runtime.KeepAlive(r)
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- a/internal/process/roster/config.go
+++ b/internal/process/roster/config.go
@@ -18,18 +18,23 @@
 	HeadAge time.Duration
 }
 
-// Defaults of Config. The probe interval and the suspicion time together bound
-// the detection of a dead instance to about 10 s in fleets of up to 7,800.
+// Defaults of Config. With them a dead instance is suspect after about 3 s and
+// dead after about 8 s in a small fleet, and after about 23 s among 7,800.
+// Callers avoid it from their first failed call on (design 3.12).
 const (
-	DefaultProbeInterval    = time.Second
-	DefaultProbeTimeout     = 500 * time.Millisecond
-	DefaultSuspicionTime    = 5 * time.Second
-	DefaultDigestInterval   = 30 * time.Second
-	DefaultHealInterval     = time.Minute
-	DefaultLeftRetention    = 10 * time.Minute
-	DefaultDeadRetention    = 24 * time.Hour
-	DefaultRowRemovalDelay  = 30 * time.Minute
-	DefaultBudgetPerSecond  = 2000
+	DefaultProbeInterval   = time.Second
+	DefaultProbeTimeout    = 500 * time.Millisecond
+	DefaultDigestInterval  = 30 * time.Second
+	DefaultHealInterval    = time.Minute
+	DefaultLeftRetention   = 10 * time.Minute
+	DefaultDeadRetention   = 24 * time.Hour
+	DefaultRowRemovalDelay = 30 * time.Minute
+	DefaultBudgetPerSecond = 2000
+	// suspicionIntervals is the default suspicion time in probe intervals, so
+	// that gossip and refutations have the same number of rounds.
+	suspicionIntervals = 5
+	// suspicionTimeouts is its minimum in probe timeouts.
+	suspicionTimeouts       = 4
 	defaultIndirectProbers  = 3
 	defaultSeedRows         = 8
 	maxRowRemovalsPerSecond = 2
@@ -59,8 +64,9 @@
 	ProbeInterval time.Duration
 	// ProbeTimeout bounds a direct probe; the indirect probes get the same again.
 	ProbeTimeout time.Duration
-	// SuspicionTime is how long a suspect instance has for its refutation.
-	// Larger fleets get more, see suspicionTime.
+	// SuspicionTime is how long a suspect instance has for its refutation in a
+	// fleet of up to 10; larger fleets get more. The default is 5 probe
+	// intervals and at least 4 probe timeouts.
 	SuspicionTime time.Duration
 	// DigestInterval is the mean time between digest exchanges.
 	DigestInterval time.Duration
@@ -91,7 +97,7 @@
 func (c *Config) setDefaults() {
 	setDuration(&c.ProbeInterval, DefaultProbeInterval)
 	setDuration(&c.ProbeTimeout, DefaultProbeTimeout)
-	setDuration(&c.SuspicionTime, DefaultSuspicionTime)
+	setDuration(&c.SuspicionTime, max(suspicionIntervals*c.ProbeInterval, suspicionTimeouts*c.ProbeTimeout))
 	setDuration(&c.DigestInterval, DefaultDigestInterval)
 	setDuration(&c.HealInterval, DefaultHealInterval)
 	setDuration(&c.LeftRetention, DefaultLeftRetention)
--- a/internal/process/roster/register.go
+++ b/internal/process/roster/register.go
@@ -87,6 +87,18 @@
 	return nil
 }
 
+// ensureRow writes this node's row again if it is gone. After regions were
+// apart thousands of nodes check, and only those without a row may write.
+func (r *Roster) ensureRow(ctx context.Context) error {
+	readCtx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	_, _, err := r.readRow(readCtx, r.config.Self.ID)
+	if !errors.Is(err, lagoonbarrow.ErrNotFound) {
+		return err
+	}
+	return r.writeRow(ctx)
+}
+
 // settleRow finds out whether a row write with a lost answer took effect. Two
 // processes with one id could only write the same incarnation if they started
 // in the same millisecond; the platform's version decides for one of them then.
--- a/internal/process/roster/roster.go
+++ b/internal/process/roster/roster.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/alitto/pond/v2"
+	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 
 	"lagoonbarrow"
@@ -53,10 +54,10 @@
 	rowMutex   sync.Mutex
 	rowVersion lagoonbarrow.RowVersion
 
-	cancel  context.CancelFunc
-	loops   sync.WaitGroup
-	started atomic.Bool
-	stopped atomic.Bool
+	lifeMutex sync.Mutex
+	cancel    context.CancelFunc
+	loops     sync.WaitGroup
+	stopped   atomic.Bool
 }
 
 type counters struct {
@@ -73,7 +74,6 @@
 }
 
 func newCounters(scope tally.Scope) counters {
-	scope = scope.SubScope("roster")
 	return counters{
 		probes:        scope.Counter("probes"),
 		probeFails:    scope.Counter("probe-failures"),
@@ -103,6 +103,7 @@
 		budget:  newBudget(config.BudgetPerSecond, config.ProbeInterval),
 		events:  newLimitedEvents(config.Recorder),
 		scope:   newCounters(config.Scope),
+		pool:    pond.NewPool(fanOut, pond.WithQueueSize(fanOutWaiting), pond.WithNonBlocking(true)),
 		strings: map[string]string{},
 		urgent:  make(chan reference, urgentProbes),
 		restore: make(chan struct{}, 1),
@@ -116,14 +117,16 @@
 
 // Start begins registration and probing in the background. The roster stays
 // not ready, and retries, until the platform's table accepted this node's row.
-// Cancelling ctx ends the background work, as Stop does. A roster that was
-// stopped can't be started again.
+// The background work goes on until Stop, also when ctx is cancelled: while a
+// node drains after a signal, its leave still has to spread with its probes.
+// It returns ErrStopping for a roster that was started or stopped before.
 func (r *Roster) Start(ctx context.Context) error {
-	if r.stopped.Load() || !r.started.CompareAndSwap(false, true) {
-		return lagoonbarrow.ErrStopping
+	r.lifeMutex.Lock()
+	defer r.lifeMutex.Unlock()
+	if r.stopped.Load() || r.cancel != nil {
+		return errors.Wrap(lagoonbarrow.ErrStopping, "roster: start")
 	}
-	ctx, r.cancel = context.WithCancel(ctx)
-	r.pool = pond.NewPool(fanOut, pond.WithQueueSize(fanOutWaiting), pond.WithNonBlocking(true))
+	ctx, r.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	r.loops.Add(1)
 	go r.run(ctx)
 	return nil
@@ -205,10 +208,9 @@
 // Stop ends all background work. After Leave it also announces that this node
 // has left and removes its row; without Leave it acts like a crash.
 func (r *Roster) Stop() {
-	if !r.stopped.CompareAndSwap(false, true) || !r.started.Load() {
+	if !r.end() {
 		return
 	}
-	r.cancel()
 	r.loops.Wait()
 	if !r.leaving.Load() {
 		return
@@ -220,6 +222,17 @@
 	r.removeOwnRow(ctx)
 }
 
+// end cancels the background work and reports whether there was any.
+func (r *Roster) end() bool {
+	r.lifeMutex.Lock()
+	defer r.lifeMutex.Unlock()
+	if !r.stopped.CompareAndSwap(false, true) || r.cancel == nil {
+		return false
+	}
+	r.cancel()
+	return true
+}
+
 // SetState announces this node's own state. Only starting and ready are
 // accepted; Leave announces the end.
 func (r *Roster) SetState(state lagoonbarrow.InstanceState) {
--- a/internal/process/roster/roster_test.go
+++ b/internal/process/roster/roster_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -10,10 +11,13 @@
 	"lagoonbarrow/pkg/event"
 )
 
-// Guards against members that stay unknown or not ready after a join.
+// Guards against members that stay unknown or not ready after a join, when all
+// instances start at the same moment.
 func TestJoin(t *testing.T) {
 	inBubble(t, func(f *fleet) {
-		f.addMany(24, 4)
+		for i := range 24 {
+			f.add(testInstance(i, 4))
+		}
 		f.eventually(time.Minute, "complete table", f.complete)
 		if got := len(f.nodes[3].Instances("service-1")); got != 6 {
 			t.Errorf("service-1 has %d instances, want 6", got)
@@ -258,15 +262,15 @@
 // incarnations against each other for ever.
 func TestSupersededProcessGivesUp(t *testing.T) {
 	inBubble(t, func(f *fleet) {
-		superseded := 0
-		f.tune = func(c *Config) { c.OnSuperseded = func() { superseded++ } }
+		var superseded atomic.Int32
+		f.tune = func(c *Config) { c.OnSuperseded = func() { superseded.Add(1) } }
 		f.addMany(6, 2)
 		f.eventually(time.Minute, "complete table", f.complete)
 		moved := testInstance(3, 2)
 		moved.Peer = "10.9.9.9:7000"
 		f.add(moved)
 		f.eventually(5*time.Minute, "one process is left", func() bool {
-			return superseded == 1
+			return superseded.Load() == 1
 		})
 		f.eventually(time.Minute, "the later process is known", func() bool {
 			seen, _ := f.nodes[0].Lookup(moved.ID)
@@ -322,6 +326,10 @@
 	})
 }
 
+// removalBurst is how many rows may be removed within a second: two on average,
+// and the nodes chosen for them act at random times.
+const removalBurst = 6
+
 // Guards against rows of dead instances that stay for ever or are removed in
 // one burst.
 func TestDeadRowsAreRemovedSlowly(t *testing.T) {
@@ -341,5 +349,10 @@
 		if len(f.table.deletes) != len(lost) {
 			t.Errorf("%d rows removed, want %d", len(f.table.deletes), len(lost))
 		}
+		for i := range len(f.table.deletes) - removalBurst {
+			if f.table.deletes[i+removalBurst].Sub(f.table.deletes[i]) < time.Second {
+				t.Errorf("more than %d rows removed within a second", removalBurst)
+			}
+		}
 	})
 }
--- a/internal/process/roster/sync.go
+++ b/internal/process/roster/sync.go
@@ -25,14 +25,15 @@
 )
 
 // firstDigest is how much sooner than the rest the first digest exchange takes
-// place. It finds the members that joined at the same time as this node.
-const firstDigest = 10
+// place; the wait doubles from there. The early exchanges find the members that
+// joined at the same time as this node.
+const firstDigest = 16
 
 // digestLoop compares this node's table with a random member's.
 func (r *Roster) digestLoop(ctx context.Context) {
 	wait := r.config.DigestInterval / firstDigest
 	for sleep(ctx, jitter(wait)) {
-		wait = r.config.DigestInterval
+		wait = min(2*wait, r.config.DigestInterval)
 		if r.budget.left() < 0 {
 			continue
 		}
@@ -40,6 +41,8 @@
 			return m.ref != r.selfRef && m.Status.live() && m.Status.Verdict == verdictAlive
 		})
 		if len(peers) == 0 {
+			// Alone; the instances that were registered may answer by now.
+			r.probeSeeds(ctx)
 			continue
 		}
 		r.exchangeDigests(ctx, peers[0].Instance)
