--- a/internal/process/quota/metrics.go
+++ b/internal/process/quota/metrics.go
@@ -14,12 +14,12 @@
 
 func newMetrics(scope tally.Scope) metrics {
 	return metrics{
-		admitted:      scope.Counter("quota-admitted"),
-		refused:       scope.Counter("quota-refused"),
-		reports:       scope.Counter("quota-reports"),
-		failedReports: scope.Counter("quota-reports-failed"),
-		grants:        scope.Counter("quota-grants"),
-		customers:     scope.Gauge("quota-customers"),
-		owned:         scope.Gauge("quota-owned-customers"),
+		admitted:      scope.Counter("admitted"),
+		refused:       scope.Counter("refused"),
+		reports:       scope.Counter("reports"),
+		failedReports: scope.Counter("reports-failed"),
+		grants:        scope.Counter("grants"),
+		customers:     scope.Gauge("customers"),
+		owned:         scope.Gauge("owned-customers"),
 	}
 }
--- a/internal/version/contract/metrics.go
+++ b/internal/version/contract/metrics.go
@@ -16,14 +16,14 @@
 
 func newDistributorMetrics(scope tally.Scope) distributorMetrics {
 	return distributorMetrics{
-		revision:      scope.Gauge("contract-revision"),
-		age:           scope.Gauge("contract-confirmed-age-seconds"),
-		reads:         scope.Counter("contract-platform-reads"),
-		failedReads:   scope.Counter("contract-platform-reads-failed"),
-		pushes:        scope.Counter("contract-pushes"),
-		droppedPushes: scope.Counter("contract-pushes-dropped"),
-		pulls:         scope.Counter("contract-pulls"),
-		failedPulls:   scope.Counter("contract-pulls-failed"),
-		headBehind:    scope.Counter("contract-head-behind"),
+		revision:      scope.Gauge("revision"),
+		age:           scope.Gauge("confirmed-age-seconds"),
+		reads:         scope.Counter("platform-reads"),
+		failedReads:   scope.Counter("platform-reads-failed"),
+		pushes:        scope.Counter("pushes"),
+		droppedPushes: scope.Counter("pushes-dropped"),
+		pulls:         scope.Counter("pulls"),
+		failedPulls:   scope.Counter("pulls-failed"),
+		headBehind:    scope.Counter("head-behind"),
 	}
 }
