Bound connection events and end waits for unreachable peers

Calls that wait for a connection to a peer that can't be reached end together. Up to 128 connections per peer let calls wait in the callee's admission. The liveness check of idle connections is shared with the backend client, which now also returns Retry-After.

--- a/internal/connection/peer/bench_test.go
+++ b/internal/connection/peer/bench_test.go
@@ -83,13 +83,7 @@
 func BenchmarkControlMessage(b *testing.B) {
 	for name, kept := range map[string]int{"new-connection": -1, "kept-connection": 32} {
 		b.Run(name, func(b *testing.B) {
-			_, target := startServer(b, echo, func(config *ServerConfig) {
-				config.Messages = map[string]lagoonbarrow.MessageHandler{
-					"probe": messageFunc(func(_ context.Context, _ lagoonbarrow.InstanceID, message lagoonbarrow.Message) (lagoonbarrow.Message, error) {
-						return message, nil
-					}),
-				}
-			})
+			_, target := startServer(b, echo, serveProbes)
 			scope := tally.NewTestScope("", nil)
 			client := newClient(b, func(config *ClientConfig) {
 				config.Scope = scope
--- a/internal/connection/peer/client.go
+++ b/internal/connection/peer/client.go
@@ -94,7 +94,7 @@
 		return
 	}
 	if errors.Is(err, lagoonbarrow.ErrFrame) || errors.Is(err, lagoonbarrow.ErrTooLarge) {
-		record(c.config.Recorder, event.PeerConnectionClosed, used, err)
+		c.pool.dialer.events.record(event.PeerConnectionClosed, used, err)
 	}
 }
 
--- a/internal/connection/peer/config.go
+++ b/internal/connection/peer/config.go
@@ -20,7 +20,10 @@
 	defaultMaxControlConnections = 1024
 	defaultMaxHandshakes         = 256
 	defaultMaxPeers              = 1024
-	defaultConnectionsPerPeer    = 64
+	// defaultConnectionsPerPeer lets calls wait in the callee's admission rather
+	// than here: the largest backend servers have 200 slots (design 1.1), and at
+	// least four callers share them.
+	defaultConnectionsPerPeer = 128
 	// defaultIdleControlConnections keeps control connections in small clusters,
 	// where the same peer is probed again soon.
 	defaultIdleControlConnections = 32
@@ -86,8 +89,9 @@
 	MaxPeers int
 	// MaxConnections bounds all connections for calls; 4,096 by default.
 	MaxConnections int
-	// ConnectionsPerPeer bounds the connections for calls to one peer; 64 by
-	// default. Long calls use at most a quarter.
+	// ConnectionsPerPeer bounds the connections for calls to one peer; 128 by
+	// default. Long calls use at most a quarter, and a tenth is kept for critical
+	// calls.
 	ConnectionsPerPeer int
 	// IdleControlConnections bounds the kept idle control connections; 32 by
 	// default. A negative value makes every control connection short-lived.
--- a/internal/connection/peer/control.go
+++ b/internal/connection/peer/control.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/connection/peer/socket"
 )
 
 // control holds the idle connections for control messages. In a large cluster the
@@ -44,7 +45,7 @@
 		if found == nil {
 			break
 		}
-		if quiet(found.raw) {
+		if socket.Quiet(found.raw) {
 			return found, nil
 		}
 		c.release(to, found, false)
@@ -124,7 +125,7 @@
 	defer c.mutex.Unlock()
 	kept := c.idle[:0]
 	for _, item := range c.idle {
-		if now.Sub(item.connection.idleSince) < c.config.ControlIdleTimeout && quiet(item.connection.raw) {
+		if now.Sub(item.connection.idleSince) < c.config.ControlIdleTimeout && socket.Quiet(item.connection.raw) {
 			kept = append(kept, item)
 			continue
 		}
--- a/internal/connection/peer/dial.go
+++ b/internal/connection/peer/dial.go
@@ -11,15 +11,32 @@
 	"lagoonbarrow/pkg/event"
 )
 
+// unreachableError: no TCP connection could be opened.
+type unreachableError struct {
+	cause error
+}
+
+// Error returns the cause.
+func (e *unreachableError) Error() string {
+	return "peer: dial: " + e.cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *unreachableError) Unwrap() error {
+	return e.cause
+}
+
 // dialer opens authenticated connections.
 type dialer struct {
 	config   *ClientConfig
 	counters map[purpose]*byteCounters
+	events   *limitedRecorder
 }
 
 func newDialer(config *ClientConfig) *dialer {
 	return &dialer{
 		config: config,
+		events: newLimitedRecorder(config.Recorder, config.Scope),
 		counters: map[purpose]*byteCounters{
 			purposeCalls:   newByteCounters(config.Scope, purposeCalls),
 			purposeControl: newByteCounters(config.Scope, purposeControl),
@@ -37,7 +54,9 @@
 	}
 	raw, err := network.DialContext(ctx, "tcp", string(to))
 	if err != nil {
-		return nil, errors.Wrap(err, "peer: dial")
+		return nil, &unreachableError{
+			cause: err,
+		}
 	}
 	c := newConnection(raw, d.config.FrameBytes)
 	if err := d.greet(ctx, c, want, use); err != nil {
@@ -60,7 +79,7 @@
 	}
 	err := c.greet(self, use)
 	if errors.Is(err, lagoonbarrow.ErrVersion) || errors.Is(err, lagoonbarrow.ErrUnauthenticated) {
-		record(d.config.Recorder, event.PeerRefused, c, err)
+		d.events.record(event.PeerRefused, c, err)
 	}
 	if err != nil {
 		return err
--- a/internal/connection/peer/handshake_test.go
+++ b/internal/connection/peer/handshake_test.go
@@ -149,11 +149,7 @@
 	server, target := startServer(t, echo, func(config *ServerConfig) {
 		config.MaxConnections = 1
 		config.MaxControlConnections = 1
-		config.Messages = map[string]lagoonbarrow.MessageHandler{
-			"probe": messageFunc(func(_ context.Context, _ lagoonbarrow.InstanceID, message lagoonbarrow.Message) (lagoonbarrow.Message, error) {
-				return message, nil
-			}),
-		}
+		serveProbes(config)
 	})
 	first, second := newClient(t, nil), newClient(t, nil)
 	if _, err := first.Call(context.Background(), target, newCall(nil)); err != nil {
--- a/internal/connection/peer/peer_test.go
+++ b/internal/connection/peer/peer_test.go
@@ -71,6 +71,18 @@
 	}
 }
 
+// repeat answers a control message with itself.
+func repeat(_ context.Context, _ lagoonbarrow.InstanceID, message lagoonbarrow.Message) (lagoonbarrow.Message, error) {
+	return message, nil
+}
+
+// serveProbes makes a server repeat messages of the kind "probe".
+func serveProbes(config *ServerConfig) {
+	config.Messages = map[string]lagoonbarrow.MessageHandler{
+		"probe": messageFunc(repeat),
+	}
+}
+
 // startServer runs a server for one test.
 func startServer(t testing.TB, calls callFunc, change func(*ServerConfig)) (*Server, lagoonbarrow.Instance) {
 	t.Helper()
--- a/internal/connection/peer/pool.go
+++ b/internal/connection/peer/pool.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/connection/peer/socket"
 )
 
 const (
@@ -94,6 +95,10 @@
 		long: long,
 	}
 	c, err := p.connect(ctx, peer)
+	var unreachable *unreachableError
+	if errors.As(err, &unreachable) && ctx.Err() == nil {
+		p.refuseWaiters(peer, err)
+	}
 	if err != nil {
 		held.release(false)
 		return nil, err
@@ -234,6 +239,17 @@
 	return nil
 }
 
+// refuseWaiters ends the wait of all calls to a peer that can't be reached, so that
+// they are retried elsewhere at once and not after a failed dial each.
+func (p *pool) refuseWaiters(peer *peerPool, reason error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, other := range peer.waiters {
+		other.granted <- reason
+	}
+	peer.waiters = nil
+}
+
 // grant lets waiters continue while the limits allow, most important first.
 // The caller holds the mutex.
 func (p *pool) grant(peer *peerPool) {
@@ -263,7 +279,7 @@
 		if c == nil {
 			break
 		}
-		if quiet(c.raw) {
+		if socket.Quiet(c.raw) {
 			return c, nil
 		}
 		p.config.Scope.Counter("stale-connections-closed").Inc(1)
@@ -432,7 +448,7 @@
 	}
 	kept := peer.idle[:0]
 	for _, c := range peer.idle {
-		if now.Sub(c.idleSince) < p.config.IdleTimeout && quiet(c.raw) {
+		if now.Sub(c.idleSince) < p.config.IdleTimeout && socket.Quiet(c.raw) {
 			kept = append(kept, c)
 			continue
 		}
--- a/internal/connection/peer/pool_test.go
+++ b/internal/connection/peer/pool_test.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"lagoonbarrow"
+	"lagoonbarrow/pkg/event"
 )
 
 // blocking is a call handler whose calls run until they are released.
@@ -81,13 +82,7 @@
 // behind them, and against control messages that wait behind calls.
 func TestLongCallsUseAQuarter(t *testing.T) {
 	work := newBlocking()
-	_, target := startServer(t, work.handle, func(config *ServerConfig) {
-		config.Messages = map[string]lagoonbarrow.MessageHandler{
-			"probe": messageFunc(func(_ context.Context, _ lagoonbarrow.InstanceID, message lagoonbarrow.Message) (lagoonbarrow.Message, error) {
-				return message, nil
-			}),
-		}
-	})
+	_, target := startServer(t, work.handle, serveProbes)
 	client := newClient(t, func(config *ClientConfig) { config.ConnectionsPerPeer = 8 })
 	var calls []*lagoonbarrow.Call
 	for range 6 {
@@ -145,6 +140,43 @@
 	}
 }
 
+// Guards against calls that wait for a connection to a peer that is gone.
+func TestWaitersEndWithThePeer(t *testing.T) {
+	work := newBlocking()
+	server, target := startServer(t, work.handle, nil)
+	client := newClient(t, func(config *ClientConfig) { config.ConnectionsPerPeer = 2 })
+	wait := inFlight(client, target, newCall(nil), newCall(nil), newCall(nil), newCall(nil))
+	eventually(t, "three calls wait", func() bool { return work.running.Load() == 1 && waiting(client) == 3 })
+	_ = server.Stop(within(t, time.Millisecond))
+	notSent := 0
+	for _, err := range wait() {
+		if errors.Is(err, lagoonbarrow.ErrNotSent) {
+			notSent++
+		}
+	}
+	if notSent != 3 || waiting(client) != 0 {
+		t.Fatalf("%d calls were not sent, %d wait", notSent, waiting(client))
+	}
+}
+
+// Guards against a time line that is flooded by refused connections.
+func TestEventsAreLimited(t *testing.T) {
+	events := &recorder{}
+	limited := newLimitedRecorder(events, noScope)
+	c := &connection{
+		peer: "caller",
+	}
+	for range 10 * eventBurst {
+		limited.record(event.PeerRefused, c, errRefused)
+	}
+	if n := events.count(event.PeerRefused); n < eventBurst || n > 2*eventBurst {
+		t.Fatalf("%d events", n)
+	}
+	if !limited.allow(time.Now().Add(time.Second)) {
+		t.Fatal("no event is recorded any more")
+	}
+}
+
 // Guards against connections and peers without bound: those in use are kept, and
 // the oldest idle ones make room.
 func TestPeersAndConnectionsAreBounded(t *testing.T) {
--- a/internal/connection/peer/server.go
+++ b/internal/connection/peer/server.go
@@ -39,6 +39,8 @@
 	buffered atomic.Int64
 	serving  sync.WaitGroup
 
+	events *limitedRecorder
+
 	mutex    sync.Mutex
 	stopping bool
 	cut      bool
@@ -58,6 +60,7 @@
 			purposeCalls:   newByteCounters(config.Scope, purposeCalls),
 			purposeControl: newByteCounters(config.Scope, purposeControl),
 		},
+		events:     newLimitedRecorder(config.Recorder, config.Scope),
 		handshakes: make(chan struct{}, config.MaxHandshakes),
 		sessions:   map[*session]struct{}{},
 		pending:    map[*connection]struct{}{},
@@ -205,7 +208,7 @@
 func (s *Server) refused(c *connection, err error) {
 	s.config.Scope.Counter("handshakes-failed").Inc(1)
 	if errors.Is(err, lagoonbarrow.ErrVersion) || errors.Is(err, lagoonbarrow.ErrUnauthenticated) {
-		record(s.config.Recorder, event.PeerRefused, c, err)
+		s.events.record(event.PeerRefused, c, err)
 	}
 	if half, ok := c.raw.(*net.TCPConn); ok {
 		_ = half.CloseWrite()
@@ -253,7 +256,7 @@
 	delete(s.sessions, item)
 	s.mutex.Unlock()
 	if errors.Is(err, lagoonbarrow.ErrFrame) || errors.Is(err, lagoonbarrow.ErrTooLarge) {
-		record(s.config.Recorder, event.PeerConnectionClosed, c, err)
+		s.events.record(event.PeerConnectionClosed, c, err)
 	}
 }
 
@@ -276,19 +279,3 @@
 	defer s.mutex.Unlock()
 	return s.stopping
 }
-
-// record notes an event about a connection.
-func record(recorder lagoonbarrow.Recorder, kind event.Kind, c *connection, err error) {
-	if recorder == nil {
-		return
-	}
-	peer := string(c.peer)
-	if peer == "" {
-		peer = c.raw.RemoteAddr().String()
-	}
-	fields := event.Fields{
-		Peer:   peer,
-		Detail: err.Error(),
-	}
-	recorder.Record(kind, fields)
-}
--- a/internal/connection/peer/alive.go
+++ b/internal/connection/peer/socket/quiet.go
@@ -1,15 +1,17 @@
 //go:build unix
 
-package peer
+// Package socket looks at the state of open sockets.
+package socket
 
 import (
 	"net"
 	"syscall"
 )
 
-// quiet reports whether an idle connection is open and has no bytes to read.
-// It looks at the socket without blocking and without taking bytes from it.
-func quiet(raw net.Conn) bool {
+// Quiet reports whether an idle connection is open and has no bytes to read.
+// It looks at the socket without blocking and without taking bytes from it, which
+// costs one system call.
+func Quiet(raw net.Conn) bool {
 	socket, ok := raw.(syscall.Conn)
 	if !ok {
 		return false
--- a/internal/request/backend/pool.go
+++ b/internal/request/backend/pool.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/connection/peer/socket"
 )
 
 // freshTime is how long a connection may have been idle to be used for a method
@@ -72,7 +73,7 @@
 		if c == nil {
 			break
 		}
-		if c.idleSince.After(oldest) && quiet(c.raw) {
+		if c.idleSince.After(oldest) && socket.Quiet(c.raw) {
 			return c, nil
 		}
 		p.forget(c)
--- a/internal/request/backend/run.go
+++ b/internal/request/backend/run.go
@@ -128,6 +128,9 @@
 	}
 	answer.Reason = lagoonbarrow.ReasonBackend
 	answer.Outcome = lagoonbarrow.OutcomeUnknown
+	if seconds, err := strconv.ParseUint(string(response.Header.Peek(fasthttp.HeaderRetryAfter)), 10, 16); err == nil {
+		answer.RetryAfter = time.Duration(seconds) * time.Second
+	}
 	if string(response.Header.Peek(lagoonbarrow.HeaderOutcome)) == string(lagoonbarrow.OutcomeNotRun) {
 		answer.Outcome = lagoonbarrow.OutcomeNotRun
 	}
--- a/internal/request/backend/run_test.go
+++ b/internal/request/backend/run_test.go
@@ -139,7 +139,7 @@
 		{"not HTTP", "hello\r\n\r\n", "POST", lagoonbarrow.OutcomeUnknown, 0},
 		{"too large", "HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" + strings.Repeat("x", 2000), "POST", lagoonbarrow.OutcomeUnknown, 0},
 		{"unclear 503", "HTTP/1.1 503 E\r\nContent-Length: 0\r\n\r\n", "POST", lagoonbarrow.OutcomeUnknown, 503},
-		{"not-run 503", "HTTP/1.1 503 E\r\nlagoonbarrow-outcome: not-run\r\nContent-Length: 0\r\n\r\n", "POST", lagoonbarrow.OutcomeNotRun, 503},
+		{"not-run 503", "HTTP/1.1 503 E\r\nlagoonbarrow-outcome: not-run\r\nRetry-After: 7\r\nContent-Length: 0\r\n\r\n", "POST", lagoonbarrow.OutcomeNotRun, 503},
 		{"interim", "HTTP/1.1 103 E\r\nX: y\r\n\r\n" + wholeAnswer, "POST", lagoonbarrow.OutcomeDone, 200},
 		{"switching", "HTTP/1.1 101 S\r\n\r\n" + wholeAnswer, "POST", lagoonbarrow.OutcomeUnknown, 0},
 		{"no content", "HTTP/1.1 204 N\r\n\r\n", "POST", lagoonbarrow.OutcomeDone, 204},
@@ -154,6 +154,9 @@
 			if answer.Call != call.ID || answer.Outcome != row.outcome || answer.Status != row.status || answer.TokensLeft != 3 {
 				t.Fatalf("unexpected answer %+v", answer)
 			}
+			if (answer.RetryAfter == 7*time.Second) != (row.outcome == lagoonbarrow.OutcomeNotRun) {
+				t.Fatalf("unexpected retry time %v", answer.RetryAfter)
+			}
 			if s.requests.Load() != 1 {
 				t.Fatalf("%d requests were sent", s.requests.Load())
 			}
