Let a customer far below its rate start without refusals

In a test with four nodes at a tenth of the rate each, the last one was also refused for 2 s, because the first took half of the free rate. What a request has to find now follows what the bucket could hold by now, a quarter of the free rate is handed out, and growing demand that is refused is reported after 250 ms.

--- a/internal/process/quota/bucket.go
+++ b/internal/process/quota/bucket.go
@@ -32,9 +32,13 @@
 // cheap requests would keep it too low for an expensive one for ever.
 type bucket struct {
 	tokens lagoonbarrow.WorkUnits
-	last   time.Time
-	held   holding
-	demand demand
+	// ceiling is what the tokens would be if none had been taken. It follows
+	// the capacity of a share that has grown only as fast as the tokens can, so
+	// that a larger share never leads to refusals.
+	ceiling lagoonbarrow.WorkUnits
+	last    time.Time
+	held    holding
+	demand  demand
 	// exceeded is when a refusal was last recorded as an event.
 	exceeded time.Time
 	// used is when the customer last asked.
@@ -43,8 +47,9 @@
 
 func newBucket(now time.Time, allowed limits) *bucket {
 	return &bucket{
-		tokens: allowed.capacity(allowed.floor),
-		last:   now,
+		tokens:  allowed.capacity(allowed.floor),
+		ceiling: allowed.capacity(allowed.floor),
+		last:    now,
 		demand: demand{
 			since: now,
 		},
@@ -77,10 +82,13 @@
 
 func (b *bucket) add(now time.Time, share lagoonbarrow.WorkUnits, allowed limits) {
 	if now.After(b.last) {
-		b.tokens += share * lagoonbarrow.WorkUnits(now.Sub(b.last).Seconds())
+		filled := share * lagoonbarrow.WorkUnits(now.Sub(b.last).Seconds())
+		b.tokens += filled
+		b.ceiling += filled
 		b.last = now
 	}
 	b.tokens = min(b.tokens, allowed.capacity(share))
+	b.ceiling = min(b.ceiling, allowed.capacity(share))
 }
 
 // take takes units and reports whether the bucket was full enough, or when it
@@ -89,25 +97,24 @@
 	b.refill(now, allowed)
 	b.used = now
 	b.demand.add(level, units)
-	share := b.share(now, allowed)
-	needed := allowed.capacity(share) * reserved(level)
+	needed := b.ceiling * reserved(level)
 	if b.tokens > 0 && b.tokens >= needed {
 		b.tokens -= units
 		return true, 0
 	}
-	return false, waitFor(needed-b.tokens, share)
+	return false, waitFor(needed-b.tokens, b.share(now, allowed))
 }
 
-// reserved is the part of the capacity that is kept from a level for the more
+// reserved is the part of a full bucket that is kept from a level for the more
 // important ones. While a critical request is refused, no other is admitted.
 func reserved(level lagoonbarrow.Importance) lagoonbarrow.WorkUnits {
 	switch level {
 	case lagoonbarrow.ImportanceCritical:
 		return 0
 	case lagoonbarrow.ImportanceNormal:
-		return 0.25
+		return 0.125
 	default:
-		return 0.5
+		return 0.25
 	}
 }
 
--- a/internal/process/quota/demand.go
+++ b/internal/process/quota/demand.go
@@ -6,6 +6,9 @@
 	"lagoonbarrow"
 )
 
+// growth is the factor by which demand has grown when it is reported early.
+const growth = 1.25
+
 // levels is the number of importance levels that demand is told apart by.
 const levels = 3
 
@@ -38,6 +41,8 @@
 	units     byLevel
 	since     time.Time
 	perSecond byLevel
+	// refused is set when a request was refused since the last measurement.
+	refused bool
 	// reported is when the demand was last sent to an owner.
 	reported time.Time
 }
@@ -47,13 +52,21 @@
 }
 
 // measure ends a measurement. The result rises at once and falls by half, so
-// that a gap of one interval between requests does not give the share away.
-func (d *demand) measure(now time.Time, interval time.Duration) {
-	elapsed := lagoonbarrow.WorkUnits(max(now.Sub(d.since), interval).Seconds())
+// that a gap of one interval between requests does not give the share away. The
+// first requests of a customer count as if they had taken the shortest time.
+func (d *demand) measure(now time.Time, shortest time.Duration) {
+	elapsed := lagoonbarrow.WorkUnits(max(now.Sub(d.since), shortest).Seconds())
 	for index := range d.units {
 		latest := d.units[index] / elapsed
 		d.perSecond[index] = max(latest, (d.perSecond[index]+latest)/2)
 		d.units[index] = 0
 	}
 	d.since = now
+	d.refused = false
+}
+
+// grown reports whether more was asked for since the last report than in a
+// whole interval before it, by a margin that steady demand does not reach.
+func (d *demand) grown() bool {
+	return d.units.sum() > d.perSecond.sum()*growth
 }
--- a/internal/process/quota/ledger.go
+++ b/internal/process/quota/ledger.go
@@ -172,10 +172,10 @@
 
 // target returns the share for a demand. More important demand is served
 // first, so that a node with critical work is not held short by browsing on
-// other nodes; within a level the rate is split in proportion. Half of what
-// nobody asked for is handed out as room for growth. The other half is kept for
-// nodes that report next, which would otherwise wait until shares are given
-// back.
+// other nodes; within a level the rate is split in proportion. A quarter of what
+// nobody asked for is handed out as room for growth. The rest is kept for nodes
+// that report next: with a half, the fourth of four nodes with a tenth of the
+// rate each was refused requests for 2 s, until the others gave shares back.
 func (a *account) target(demand byLevel, rate lagoonbarrow.WorkUnits) lagoonbarrow.WorkUnits {
 	share := lagoonbarrow.WorkUnits(0)
 	left := rate
@@ -188,7 +188,7 @@
 		left -= served
 	}
 	if total := a.demand.sum(); total > 0 {
-		share += left / 2 * (demand.sum() / total)
+		share += left / 4 * (demand.sum() / total)
 	}
 	return share
 }
--- a/internal/process/quota/quota.go
+++ b/internal/process/quota/quota.go
@@ -101,6 +101,7 @@
 		q.buckets[record.Customer] = present
 	}
 	admitted, wait := present.take(now, units, level, allowed)
+	present.demand.refused = present.demand.refused || !admitted
 	urgent := q.isUrgent(present, now)
 	report := !admitted && now.Sub(present.exceeded) >= exceededInterval
 	if report {
@@ -126,10 +127,20 @@
 	}
 }
 
-// isUrgent reports whether the customer has no share and none was asked for
-// in the last interval.
+// isUrgent reports whether the customer's demand is to be reported before the
+// next tick: when it has no share and none was asked for in the last interval,
+// or when it was refused because its demand has grown.
 func (q *Quota) isUrgent(present *bucket, now time.Time) bool {
-	return !now.Before(present.held.until) && now.Sub(present.demand.reported) >= q.config.ReportInterval
+	since := now.Sub(present.demand.reported)
+	if !now.Before(present.held.until) {
+		return since >= q.config.ReportInterval
+	}
+	return since >= q.shortest() && present.demand.refused && present.demand.grown()
+}
+
+// shortest is the least time between two reports of a customer's demand.
+func (q *Quota) shortest() time.Duration {
+	return q.config.ReportInterval / 4
 }
 
 func (q *Quota) wake() {
--- a/internal/process/quota/quota_test.go
+++ b/internal/process/quota/quota_test.go
@@ -36,6 +36,26 @@
 	}
 }
 
+// Guards against refusals of a customer far below its rate: the first share
+// that arrives raises the capacity, and the tokens follow only at its rate.
+func TestGrowingShareRefusesNothing(t *testing.T) {
+	w := newWorld(16)
+	for second := range 3 {
+		for step := range 20 {
+			for _, level := range []lagoonbarrow.Importance{lagoonbarrow.ImportanceDeferrable, lagoonbarrow.ImportanceNormal} {
+				if ok, wait := w.node(step%4).AllowLevel(w.contract, 1, level); !ok {
+					t.Errorf("second %d, request %d: refused for %v", second, step, wait)
+				}
+			}
+			w.now = w.now.Add(time.Second / 20)
+			w.node(step%4).round(context.Background(), w.node(step%4).due(true))
+		}
+		for number := range 4 {
+			w.node(number).tick(context.Background())
+		}
+	}
+}
+
 // Guards against customers held at the floor while their owner is down: the
 // second instance in rank grants shares in the same round, and only without
 // any owner does the floor apply.
--- a/internal/process/quota/report.go
+++ b/internal/process/quota/report.go
@@ -104,7 +104,7 @@
 		if now.Sub(present.used) > q.config.ShareLife {
 			continue
 		}
-		present.demand.measure(now, q.config.ReportInterval)
+		present.demand.measure(now, 2*q.shortest())
 		present.demand.reported = now
 		entries = append(entries, reportEntry{
 			Customer: customer,
