Keep slots in use where calls are slow or few

Change: the allowed standing delay is at least four mean intervals between freed slots; the capacity estimate uses the potential of the slots while the difference may be chance; latencies count only after an operation has run for 2 s.

--- a/internal/process/admission/control.go
+++ b/internal/process/admission/control.go
@@ -59,7 +59,7 @@
 		l.control.close(windowEnd{
 			scale:     float64(g.config.Window) / float64(elapsed),
 			window:    g.config.Window,
-			target:    g.config.TargetQueueDelay,
+			target:    g.targetDelay(l),
 			queue:     &l.queue,
 			potential: g.potential(l),
 			hold:      l.hold,
@@ -72,6 +72,14 @@
 	g.publish()
 }
 
+// targetDelay is the standing delay that a lane's threshold allows. Where a slot
+// of the lane is freed less often than four times in TargetQueueDelay, a delay of four
+// such intervals is allowed: without calls in the queue, freed slots would idle.
+func (g *Gate) targetDelay(l *lane) time.Duration {
+	interval := l.hold / time.Duration(g.laneLimit(l))
+	return max(g.config.TargetQueueDelay, 4*interval)
+}
+
 // potential is the number of calls that a lane would end in a window with all
 // the slots that it may use now.
 func (g *Gate) potential(l *lane) float64 {
--- a/internal/process/admission/gate.go
+++ b/internal/process/admission/gate.go
@@ -420,7 +420,9 @@
 		p.lane.observeHold(held)
 	}
 	p.op.observe(now, held, g.operations.shortMedian)
-	p.op.latency.add(now, own)
+	if p.op.settled(now) {
+		p.op.latency.add(now, own)
+	}
 	g.metrics.serviceTime.Record(held)
 }
 
--- a/internal/process/admission/operations.go
+++ b/internal/process/admission/operations.go
@@ -36,6 +36,11 @@
 	clipFactor = 32
 	// typicalWeight is the weight of one call in an operation's typical time.
 	typicalWeight = 1.0 / 16
+	// settleTime and settleMeans: latencies are compared only after an operation has run
+	// for this time and this many of its means without a pause of settleTime. Before,
+	// the calls that have ended are mostly the fast ones, and the baseline would be too low.
+	settleTime  = 2 * time.Second
+	settleMeans = 4
 	// typicalHalfLife halves the expected time of an operation that has not run,
 	// so that a slow period can't keep all its queued calls from running.
 	typicalHalfLife = time.Second
@@ -52,6 +57,8 @@
 	// calls hardly move.
 	typicalLog float64
 	lastSample time.Time
+	// activeSince is the end of the first call after a pause.
+	activeSince time.Time
 	// long is set when calls declared short were measured as long.
 	long bool
 	// ended counts the calls that ended in the present and the last window.
@@ -76,6 +83,9 @@
 	if shortMedian > 0 {
 		clipped = min(seconds, clipFactor*shortMedian)
 	}
+	if now.Sub(o.lastSample) > settleTime {
+		o.activeSince = now
+	}
 	o.samples++
 	o.ended[0]++
 	o.lastSample = now
@@ -84,6 +94,12 @@
 	o.typicalLog += max(typicalWeight, weight) * (math.Log(seconds) - o.typicalLog)
 }
 
+// settled reports whether the operation's latencies may be compared.
+func (o *operation) settled(now time.Time) bool {
+	mean := time.Duration(o.mean * float64(time.Second))
+	return now.Sub(o.activeSince) >= max(settleTime, settleMeans*mean)
+}
+
 // judge decides at the end of a window whether an operation declared short
 // belongs to the long lane. Without short work to compare with, none does.
 func (o *operation) judge(shortMedian float64) {
--- a/internal/process/admission/threshold.go
+++ b/internal/process/admission/threshold.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"time"
 
 	"lagoonbarrow"
@@ -139,12 +140,16 @@
 
 // capacity estimates the calls that end in a window. Slots that have been busy
 // for longer than a call takes end as many as they did; before, that number is
-// too low, because many of the calls have only begun.
+// too low, because many of the calls have only begun. The potential is used
+// as long as the difference may be chance, because it varies less.
 func (c *thresholdControl) capacity(end windowEnd) float64 {
-	if c.busy > end.window+end.hold {
-		return c.frees
+	if c.busy <= end.window+end.hold {
+		return max(c.frees, end.potential)
 	}
-	return max(c.frees, end.potential)
+	if math.Abs(c.frees-end.potential) <= 2*math.Sqrt(end.potential) {
+		return end.potential
+	}
+	return c.frees
 }
 
 // fall lowers the threshold by a growing step, as far as the arrivals that are
