Don't let one call's deadline refuse the calls that wait for a connection

A dial that ran into its own call's deadline looked like an unreachable peer and ended the wait of all other calls to it. The test now fails for each call without a short deadline that isn't answered.

Mutation trials showed rules that no test held: the check of idle connections before use, the head frame's call id, the end of a chunked body's trailer and the deadline check right before sending. Each has a case now.

--- a/internal/connection/peer/answer_test.go
+++ b/internal/connection/peer/answer_test.go
@@ -39,6 +39,7 @@
 		change func(packets []*packet) []*packet
 	}{
 		{"other call's answer", func([]*packet) []*packet { return answerFor(other, []byte("other")) }},
+		{"other call's head", func(p []*packet) []*packet { p[0].Answer.Call = other.ID; return p }},
 		{"other call's body", func(p []*packet) []*packet { p[1].Body.ID = string(other.ID); return p }},
 		{"other call's end", func(p []*packet) []*packet { p[2].End.ID = string(other.ID); return p }},
 		{"head of one, rest of another", func(p []*packet) []*packet { return append(p[:1], answerFor(other, []byte("12345"))[1:]...) }},
@@ -163,8 +164,29 @@
 	}
 }
 
+// Guards against a connection that the callee closed while it was idle and that
+// makes the outcome of a call unknown which the callee never saw.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	target := scriptedCallee(t, func(c *connection) {
+		call, err := receiveCall(c)
+		if err != nil {
+			return
+		}
+		c.append(t, answerFor(call, []byte("12345"))...)
+		_ = c.out.Flush()
+	})
+	client := newClient(t, func(config *ClientConfig) { config.SweepInterval = time.Hour })
+	for range 20 {
+		if _, err := client.Call(context.Background(), target, newCall(nil)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
 // Guards against answers that reach another caller while many calls share few
-// connections and some are cancelled half-way.
+// connections and some run into their deadline half-way, and against a deadline
+// that fails other calls.
 func TestConcurrentCallersGetTheirOwnAnswers(t *testing.T) {
 	_, target := startServer(t, func(ctx context.Context, call *lagoonbarrow.Call) *lagoonbarrow.Answer {
 		if call.Path == "/slow" {
@@ -174,7 +196,6 @@
 	}, nil)
 	client := newClient(t, func(config *ClientConfig) { config.ConnectionsPerPeer = 8 })
 	var callers sync.WaitGroup
-	var whole atomic.Int64
 	for i := range 32 {
 		callers.Go(func() {
 			for n := range 50 {
@@ -191,16 +212,13 @@
 				if err == nil && (answer.Call != call.ID || !bytes.Equal(answer.Body, body)) {
 					t.Error("another call's answer was delivered")
 				}
-				if err == nil {
-					whole.Add(1)
+				if err != nil && n%5 != 0 {
+					t.Errorf("call %d of caller %d: %v", n, i, err)
 				}
 			}
 		})
 	}
 	callers.Wait()
-	if whole.Load() < 32*40 {
-		t.Fatalf("only %d calls were answered", whole.Load())
-	}
 }
 
 // Guards against an answer of another call by a handler that mixes calls up.
--- a/internal/connection/peer/dial.go
+++ b/internal/connection/peer/dial.go
@@ -26,6 +26,11 @@
 	return e.cause
 }
 
+func (e *unreachableError) timeout() bool {
+	var failed net.Error
+	return errors.As(e.cause, &failed) && failed.Timeout()
+}
+
 // dialer opens authenticated connections.
 type dialer struct {
 	config   *ClientConfig
--- a/internal/connection/peer/outcome.go
+++ b/internal/connection/peer/outcome.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"lagoonbarrow"
 )
@@ -45,5 +46,9 @@
 	if err := ctx.Err(); err != nil {
 		return err
 	}
+	// The network's timers can fire before the context's.
+	if deadline, has := ctx.Deadline(); has && !time.Now().Before(deadline) {
+		return context.DeadlineExceeded
+	}
 	return cause
 }
--- a/internal/connection/peer/pool.go
+++ b/internal/connection/peer/pool.go
@@ -95,8 +95,9 @@
 		long: long,
 	}
 	c, err := p.connect(ctx, peer)
+	// A timeout may be that of this call alone.
 	var unreachable *unreachableError
-	if errors.As(err, &unreachable) && ctx.Err() == nil {
+	if errors.As(err, &unreachable) && !unreachable.timeout() {
 		p.refuseWaiters(peer, err)
 	}
 	if err != nil {
--- a/internal/request/backend/run.go
+++ b/internal/request/backend/run.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
 	"lagoonbarrow"
@@ -140,11 +141,13 @@
 // failed returns the answer for a call without a whole response.
 func failed(ctx context.Context, call *lagoonbarrow.Call, outcome lagoonbarrow.Outcome) *lagoonbarrow.Answer {
 	reason := lagoonbarrow.ReasonBackend
-	switch ctx.Err() {
-	case context.DeadlineExceeded:
-		reason = lagoonbarrow.ReasonDeadline
-	case context.Canceled:
+	deadline, _ := ctx.Deadline()
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
 		reason = lagoonbarrow.ReasonCancelled
+	case !time.Now().Before(deadline):
+		// The network's timers can fire before the context's.
+		reason = lagoonbarrow.ReasonDeadline
 	}
 	return &lagoonbarrow.Answer{
 		Call:       call.ID,
--- a/internal/request/backend/run_test.go
+++ b/internal/request/backend/run_test.go
@@ -132,6 +132,7 @@
 		{"error status", "HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n", "POST", lagoonbarrow.OutcomeDone, 500},
 		{"short body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", "POST", lagoonbarrow.OutcomeUnknown, 0},
 		{"aborted chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", "POST", lagoonbarrow.OutcomeUnknown, 0},
+		{"cut trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n", "POST", lagoonbarrow.OutcomeUnknown, 0},
 		{"cut chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nok", "POST", lagoonbarrow.OutcomeUnknown, 0},
 		{"no length", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok", "POST", lagoonbarrow.OutcomeUnknown, 0},
 		{"cut header", "HTTP/1.1 200 OK\r\nContent-Le", "POST", lagoonbarrow.OutcomeUnknown, 0},
@@ -278,15 +279,19 @@
 func TestCallsThatAreNotSent(t *testing.T) {
 	s := startRaw(t, answering(wholeAnswer, false))
 	client := newClient(t, s, nil)
-	answer := client.Run(context.Background(), newCall("POST"), time.Now().Add(-time.Second))
-	if answer.Outcome != lagoonbarrow.OutcomeNotRun || answer.Reason != lagoonbarrow.ReasonDeadline {
-		t.Fatalf("unexpected answer %+v", answer)
-	}
 	cancelled, cancel := context.WithCancel(context.Background())
 	cancel()
-	answer = client.Run(cancelled, newCall("POST"), soon())
-	if answer.Outcome != lagoonbarrow.OutcomeNotRun || answer.Reason != lagoonbarrow.ReasonCancelled {
-		t.Fatalf("unexpected answer %+v", answer)
+	// The first call leaves a connection that the others could use.
+	answer := client.Run(context.Background(), newCall("POST"), soon())
+	for range 20 {
+		answer = client.Run(context.Background(), newCall("POST"), time.Now().Add(-time.Second))
+		if answer.Outcome != lagoonbarrow.OutcomeNotRun || answer.Reason != lagoonbarrow.ReasonDeadline {
+			t.Fatalf("unexpected answer %+v", answer)
+		}
+		answer = client.Run(cancelled, newCall("POST"), soon())
+		if answer.Outcome != lagoonbarrow.OutcomeNotRun || answer.Reason != lagoonbarrow.ReasonCancelled {
+			t.Fatalf("unexpected answer %+v", answer)
+		}
 	}
 	for _, path := range []string{"", "x", "/a b", "/a\r\nX: y"} {
 		call := newCall("POST")
@@ -296,7 +301,7 @@
 			t.Fatalf("path %q: unexpected answer %+v", path, answer)
 		}
 	}
-	if s.requests.Load() != 0 {
+	if s.requests.Load() != 1 {
 		t.Fatal("a call was sent")
 	}
 	_ = s.listener.Close()
