Close gaps between the lanes, after pauses and in preemption

Cause: review of the gate beside its use in the call handler. A threshold above the critical level in one lane refused critical calls while the other lane admitted lower work until the window ended; a call that does not end on cancellation kept further calls from being preempted; one window after a pause of the process raised the threshold; tally timers keep every value in scopes without a reporter.

--- a/internal/process/admission/control.go
+++ b/internal/process/admission/control.go
@@ -50,10 +50,13 @@
 func (g *Gate) closeWindow(now time.Time) {
 	elapsed := now.Sub(g.windowStart)
 	g.windowStart = now
+	if elapsed > pauseWindows*g.config.Window {
+		g.short.control.forgetWindow()
+		g.long.control.forgetWindow()
+		return
+	}
 	g.operations.close()
 	g.limiter.close(now, &g.operations, g.running)
-	lower := g.running - g.runningBy[lagoonbarrow.ImportanceCritical]
-	lower += g.short.queue.lower() + g.long.queue.lower()
 	for _, l := range []*lane{&g.short, &g.long} {
 		before := l.control.threshold
 		l.control.close(windowEnd{
@@ -63,7 +66,7 @@
 			queue:     &l.queue,
 			potential: g.potential(l),
 			hold:      l.hold,
-			lowerBusy: lower > 0,
+			lowerBusy: g.lowerBusy(),
 		})
 		g.shedBelow(l)
 		g.recordThreshold(l, before)
@@ -113,11 +116,25 @@
 	if g.config.Plain {
 		return
 	}
-	pending := g.preempting
+	pending := g.pendingPreemptions(now)
 	g.preemptForLane(&g.long, now, &pending)
 	g.preemptForLane(&g.short, now, &pending)
 }
 
+// pendingPreemptions counts the preempted calls that are expected to free their slot. A
+// call that still holds it after the target delay does not end on cancellation, so that it
+// no longer keeps another one from being preempted.
+func (g *Gate) pendingPreemptions(now time.Time) int {
+	pending := 0
+	for p := g.preempted.last; p != nil; p = p.prev {
+		if now.Sub(p.preemptedAt) > g.config.TargetQueueDelay {
+			break
+		}
+		pending++
+	}
+	return pending
+}
+
 func (g *Gate) preemptForLane(l *lane, now time.Time, pending *int) {
 	waiting := l.queue.byLevel[lagoonbarrow.ImportanceCritical]
 	if waiting == 0 {
@@ -142,7 +159,7 @@
 		if waited > g.config.TargetQueueDelay {
 			highest = lagoonbarrow.ImportanceNormal
 		}
-		g.preempt(g.victim(l, highest))
+		g.preempt(g.victim(l, highest), now)
 	})
 }
 
@@ -173,14 +190,15 @@
 }
 
 // preempt cancels a running call, which keeps its slot until it is released.
-func (g *Gate) preempt(p *permit) {
+func (g *Gate) preempt(p *permit, now time.Time) {
 	if p == nil {
 		return
 	}
 	level := p.work.Priority.Importance()
 	p.lane.runningBy[level].remove(p)
 	p.preempted = true
-	g.preempting++
+	p.preemptedAt = now
+	g.preempted.push(p)
 	g.counts.preempted[level]++
 	g.metrics.preempted[level].Inc(1)
 	g.recordPreempted(p)
@@ -226,7 +244,7 @@
 		Short:          g.laneStatus(&g.short),
 		Long:           g.laneStatus(&g.long),
 		LongOperations: g.operations.longNames(),
-		Threshold:      g.short.control.threshold,
+		Threshold:      g.threshold(&g.short),
 		Admitted:       countsByName(g.counts.admitted),
 		Shed:           countsByName(g.counts.shed),
 		Expired:        countsByName(g.counts.expired),
@@ -239,7 +257,7 @@
 		Limit:      g.laneLimit(l),
 		Running:    l.running,
 		Queued:     l.queue.length,
-		Threshold:  l.control.threshold,
+		Threshold:  g.threshold(l),
 		QueueDelay: l.control.lastStanding,
 	}
 }
--- a/internal/process/admission/gate.go
+++ b/internal/process/admission/gate.go
@@ -19,6 +19,9 @@
 	// samplesPerWindow is the number of control steps in a window. A step
 	// samples the queues, drops expired calls and preempts for critical work.
 	samplesPerWindow = 10
+	// pauseWindows is the number of windows without a control step after which the
+	// process was paused. What was counted then says nothing of the load.
+	pauseWindows = 10
 	// reserveMemory is how long critical work keeps its reserve after the last critical call.
 	// Without critical work the reserve would idle a tenth of the slots.
 	reserveMemory = 10 * time.Second
@@ -40,8 +43,9 @@
 	running int
 	// runningBy counts the calls that hold a slot by importance, preempted ones included.
 	runningBy [levels]int
-	// preempting counts the preempted calls that still hold a slot.
-	preempting   int
+	// preempted lists the preempted calls that still hold a slot, in the order of their
+	// preemption.
+	preempted    permitList
 	sequence     uint64
 	operations   operations
 	lastCritical time.Time
@@ -128,6 +132,9 @@
 // refuses the call, and ErrDeadline when the deadline can't be met or ctx ends first.
 // In both cases the call was not run.
 func (g *Gate) Admit(ctx context.Context, work lagoonbarrow.Work) (lagoonbarrow.Permit, error) {
+	if ctx.Err() != nil {
+		return nil, errors.Wrapf(lagoonbarrow.ErrDeadline, "admission: admit %s", work.Operation)
+	}
 	held, cancel := context.WithCancelCause(ctx)
 	decided := make(chan decision, 1)
 	w := &waiter{
@@ -225,7 +232,7 @@
 	if g.config.Plain {
 		return ""
 	}
-	if !w.lane.control.threshold.Admits(w.work.Priority) {
+	if !g.threshold(w.lane).Admits(w.work.Priority) {
 		return "threshold"
 	}
 	return ""
@@ -332,7 +339,7 @@
 	w.lane.runningBy[level].push(granted)
 	g.limiter.peak = max(g.limiter.peak, g.running)
 	g.counts.admitted[level]++
-	g.metrics.queueDelay(w.lane).Record(now.Sub(w.since))
+	g.metrics.queueDelay(w.lane).RecordDuration(now.Sub(w.since))
 	w.settle(granted, nil)
 }
 
@@ -401,7 +408,7 @@
 	p.lane.running--
 	p.lane.control.freed++
 	if p.preempted {
-		g.preempting--
+		g.preempted.remove(p)
 	} else {
 		p.lane.runningBy[level].remove(p)
 	}
@@ -423,14 +430,27 @@
 	if p.op.settled(now) {
 		p.op.latency.add(now, own)
 	}
-	g.metrics.serviceTime.Record(held)
+	g.metrics.serviceTime.RecordDuration(held)
+}
+
+// threshold is the lowest priority that a lane admits. Between two windows, work
+// below the critical level may have come to the other lane; then no critical call is refused.
+func (g *Gate) threshold(l *lane) lagoonbarrow.Threshold {
+	if l.control.threshold > lagoonbarrow.CriticalThreshold && g.lowerBusy() {
+		return lagoonbarrow.CriticalThreshold
+	}
+	return l.control.threshold
+}
+
+// lowerBusy reports whether work below the critical level is running or queued.
+func (g *Gate) lowerBusy() bool {
+	lower := g.running - g.runningBy[lagoonbarrow.ImportanceCritical]
+	return lower+g.short.queue.lower()+g.long.queue.lower() > 0
 }
 
 // Threshold returns the lowest priority that the short lane admits.
 func (g *Gate) Threshold() lagoonbarrow.Threshold {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.short.control.threshold
+	return g.ThresholdOf(false)
 }
 
 // ThresholdOf returns the lowest priority that the lane of long or short work admits.
@@ -438,9 +458,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if long {
-		return g.long.control.threshold
+		return g.threshold(&g.long)
 	}
-	return g.short.control.threshold
+	return g.threshold(&g.short)
 }
 
 // Load returns the gate's limit, running and queued calls.
--- a/internal/process/admission/gate_test.go
+++ b/internal/process/admission/gate_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -92,7 +93,7 @@
 	if !running[2].preempted || running[0].preempted {
 		t.Error("the newest deferrable call was not the one preempted")
 	}
-	clock.advance(gate, 50*time.Millisecond)
+	clock.advance(gate, 20*time.Millisecond)
 	if running[0].preempted || !first.waiting() {
 		t.Error("one waiting call preempted two, or ran before the slot was free")
 	}
@@ -111,11 +112,64 @@
 	if second.permit == nil || third.permit == nil {
 		t.Error("critical calls still wait")
 	}
+	clock.advance(gate, 50*time.Millisecond)
 	if got := gate.Status().Preempted; got["deferrable"] != 2 || got["normal"] != 1 {
 		t.Errorf("preempted %v", got)
 	}
 }
 
+// Guards against critical work that waits for a preempted call that does not
+// end on cancellation.
+func TestPreemptedCallThatDoesNotEnd(t *testing.T) {
+	gate, clock := warmGate(t, Config{
+		Slots: 2,
+	})
+	stubborn := ask(gate, lagoonbarrow.Work{Priority: deferrable})
+	newest := ask(gate, lagoonbarrow.Work{Priority: deferrable})
+	ask(gate, lagoonbarrow.Work{Priority: critical})
+	clock.advance(gate, 50*time.Millisecond)
+	if !newest.preempted || stubborn.preempted {
+		t.Error("not one call was preempted")
+	}
+	clock.advance(gate, 20*time.Millisecond)
+	if !stubborn.preempted {
+		t.Error("no second call was preempted")
+	}
+}
+
+// Guards against critical work that is refused by the threshold of one lane
+// while lower work is admitted to the other.
+func TestCriticalWorkIsAdmittedBesideLowerWork(t *testing.T) {
+	gate, _ := warmGate(t, Config{
+		Slots: 8,
+	})
+	gate.long.control.threshold = 255
+	long := lagoonbarrow.Work{Priority: critical, Long: true}
+	if refused := ask(gate, long); refused.err == nil {
+		t.Error("the threshold refuses nothing")
+	}
+	ask(gate, lagoonbarrow.Work{Priority: deferrable})
+	if admitted := ask(gate, long); admitted.err != nil {
+		t.Error("critical work refused beside lower work")
+	}
+}
+
+// Guards against a threshold that rises because the process was paused.
+func TestPauseDoesNotRaiseThreshold(t *testing.T) {
+	gate, clock := warmGate(t, Config{
+		Slots: 1,
+	})
+	running := ask(gate, lagoonbarrow.Work{Priority: normal})
+	queued := ask(gate, lagoonbarrow.Work{Priority: normal})
+	clock.advance(gate, DefaultWindow/2)
+	clock.now = clock.now.Add(10 * time.Second)
+	gate.step()
+	if gate.Threshold() != 0 || !queued.waiting() {
+		t.Errorf("threshold %d, queued call %v", gate.Threshold(), queued.err)
+	}
+	running.permit.Release(true)
+}
+
 // Guards against a reserve that other work takes, and against an idle reserve
 // when there is no critical work.
 func TestCriticalReserve(t *testing.T) {
@@ -326,3 +380,26 @@
 		}
 	})
 }
+
+func BenchmarkStep(b *testing.B) {
+	gate, err := New(Config{
+		Slots: 200,
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	for i := range 1000 {
+		ask(gate, lagoonbarrow.Work{Priority: lagoonbarrow.Priority(i), Operation: fmt.Sprint(i % 100)})
+	}
+	now := time.Now()
+	b.ReportAllocs()
+	for b.Loop() {
+		gate.closeWindow(now)
+		now = now.Add(DefaultWindow)
+		for range samplesPerWindow {
+			gate.expireQueued(now)
+			gate.sample(&gate.short, now)
+			gate.sample(&gate.long, now)
+		}
+	}
+}
--- a/internal/process/admission/lanes_test.go
+++ b/internal/process/admission/lanes_test.go
@@ -37,6 +37,7 @@
 
 // Guards against short work that waits behind long work, declared or not.
 func TestShortWorkBesideLongWork(t *testing.T) {
+	t.Parallel()
 	for _, slots := range []int{15, 70} {
 		for _, declared := range []bool{true, false} {
 			for _, seed := range seeds {
@@ -74,6 +75,7 @@
 
 // Guards against an operation that stays in the long lane after it became short again.
 func TestLongOperationBecomesShortAgain(t *testing.T) {
+	t.Parallel()
 	s := newSimulation(t, seeds[0], Config{
 		Slots: 70,
 	})
@@ -103,6 +105,7 @@
 // Guards against a slow downstream service that lowers the limit, or delays
 // calls that do not use it.
 func TestSlowDownstreamService(t *testing.T) {
+	t.Parallel()
 	for _, seed := range seeds {
 		s := newSimulation(t, seed, Config{
 			Slots: 70,
@@ -139,6 +142,7 @@
 // Guards against a limit that follows downstream time when every call uses the
 // slow downstream service.
 func TestDownstreamTimeIsNotLatency(t *testing.T) {
+	t.Parallel()
 	s := newSimulation(t, seeds[0], Config{
 		Slots: 70,
 	})
--- a/internal/process/admission/overload_test.go
+++ b/internal/process/admission/overload_test.go
@@ -54,6 +54,7 @@
 // Guards against lost goodput at twice the capacity, and against critical calls
 // that are refused or late while less important work is admitted.
 func TestGoodputAtTwiceTheCapacity(t *testing.T) {
+	t.Parallel()
 	cases := []struct {
 		name    string
 		retries int
@@ -146,6 +147,7 @@
 // Guards against overload that outlasts its cause: a threshold or limit that
 // stays where a surge left it.
 func TestRecoveryAfterSurge(t *testing.T) {
+	t.Parallel()
 	const begin, end = 5 * time.Second, 15 * time.Second
 	cases := []struct {
 		slots int
@@ -190,6 +192,7 @@
 // Guards against a gate that stays closed after the backend server answered
 // nothing for some seconds.
 func TestRecoveryAfterFreeze(t *testing.T) {
+	t.Parallel()
 	const begin, end = 5 * time.Second, 10 * time.Second
 	for _, seed := range seeds {
 		s := newSimulation(t, seed, Config{
@@ -215,6 +218,7 @@
 // Guards against a limit that is driven down for good by a slowdown that has
 // nothing to do with concurrency.
 func TestLastingSlowdownKeepsLimit(t *testing.T) {
+	t.Parallel()
 	for _, factor := range []float64{3, 10} {
 		for _, seed := range seeds {
 			s := newSimulation(t, seed, Config{
@@ -251,6 +255,7 @@
 // Guards against a limit below the slots when a few requests take many times
 // longer than the rest.
 func TestVaryingLatencyKeepsLimit(t *testing.T) {
+	t.Parallel()
 	shapes := []struct {
 		name    string
 		service func(*rand.Rand) time.Duration
--- a/internal/process/admission/permit.go
+++ b/internal/process/admission/permit.go
@@ -28,8 +28,9 @@
 	sequence uint64
 	cancel   func(cause error)
 
-	released  bool
-	preempted bool
+	released    bool
+	preempted   bool
+	preemptedAt time.Time
 	// downstream counts the downstream calls under way; away is the time during
 	// which there was at least one, awaySince the start of the present such time.
 	downstream int
@@ -94,7 +95,7 @@
 	return held, max(own, 0)
 }
 
-// permitList is a list of permits in the order of their start.
+// permitList is a list of permits in the order in which they were added.
 type permitList struct {
 	first, last *permit
 	length      int
--- a/internal/process/admission/report.go
+++ b/internal/process/admission/report.go
@@ -20,22 +20,25 @@
 	limitChangePart = 0.2
 )
 
+// delayBuckets reach from 1 ms to 16 s.
+var delayBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 15)
+
 // recorded is what the time line was told last.
 type recorded struct {
 	events int
 	limit  int
 }
 
-// metrics are the gate's metrics.
+// metrics are the gate's metrics. The scope's name tells that they belong to admission.
 type metrics struct {
 	limit       tally.Gauge
 	running     tally.Gauge
 	threshold   tally.Gauge
 	shortQueued tally.Gauge
 	longQueued  tally.Gauge
-	shortDelay  tally.Timer
-	longDelay   tally.Timer
-	serviceTime tally.Timer
+	shortDelay  tally.Histogram
+	longDelay   tally.Histogram
+	serviceTime tally.Histogram
 	shed        [levels]tally.Counter
 	expired     [levels]tally.Counter
 	preempted   [levels]tally.Counter
@@ -43,25 +46,25 @@
 
 func newMetrics(scope tally.Scope) metrics {
 	made := metrics{
-		limit:       scope.Gauge("admission-limit"),
-		running:     scope.Gauge("admission-running"),
-		threshold:   scope.Gauge("admission-threshold"),
-		shortQueued: scope.Gauge("admission-short-queued"),
-		longQueued:  scope.Gauge("admission-long-queued"),
-		shortDelay:  scope.Timer("admission-short-queue-delay"),
-		longDelay:   scope.Timer("admission-long-queue-delay"),
-		serviceTime: scope.Timer("admission-service-time"),
+		limit:       scope.Gauge("limit"),
+		running:     scope.Gauge("running"),
+		threshold:   scope.Gauge("threshold"),
+		shortQueued: scope.Gauge("short-queued"),
+		longQueued:  scope.Gauge("long-queued"),
+		shortDelay:  scope.Histogram("short-queue-delay", delayBuckets),
+		longDelay:   scope.Histogram("long-queue-delay", delayBuckets),
+		serviceTime: scope.Histogram("service-time", delayBuckets),
 	}
 	for level, name := range levelNames {
 		tagged := scope.Tagged(map[string]string{"importance": name})
-		made.shed[level] = tagged.Counter("admission-shed")
-		made.expired[level] = tagged.Counter("admission-expired")
-		made.preempted[level] = tagged.Counter("admission-preempted")
+		made.shed[level] = tagged.Counter("shed")
+		made.expired[level] = tagged.Counter("expired")
+		made.preempted[level] = tagged.Counter("preempted")
 	}
 	return made
 }
 
-func (m *metrics) queueDelay(l *lane) tally.Timer {
+func (m *metrics) queueDelay(l *lane) tally.Histogram {
 	if l.long {
 		return m.longDelay
 	}
--- a/internal/process/admission/threshold.go
+++ b/internal/process/admission/threshold.go
@@ -101,6 +101,13 @@
 	if end.lowerBusy {
 		c.threshold = min(c.threshold, lagoonbarrow.CriticalThreshold)
 	}
+	c.forgetWindow()
+}
+
+// forgetWindow discards the counts of the present window.
+func (c *thresholdControl) forgetWindow() {
+	c.arrived = [priorities]uint32{}
+	c.freed = 0
 	c.standing = 0
 	c.sampled = false
 	c.samples = 0
@@ -110,10 +117,8 @@
 func (c *thresholdControl) smooth(scale float64) {
 	for priority, count := range c.arrived {
 		c.arrivals[priority] += arrivalsWeight * (float64(count)*scale - c.arrivals[priority])
-		c.arrived[priority] = 0
 	}
 	freed := float64(c.freed) * scale
-	c.freed = 0
 	if !c.freesKnown {
 		c.freesKnown = freed > 0
 		c.frees = freed
