Share the fleet of node processes between proofs and measurements

Cause: the measurements need the same fleets and faults as the proofs. Change: internal/standin/fleet holds what starts nodes and stand-ins; the tests keep the checks. Result: internal/history builds and its tests are unchanged in what they check.

--- a/internal/history/answer_test.go
+++ b/internal/history/answer_test.go
@@ -13,6 +13,7 @@
 
 	"lagoonbarrow"
 	"lagoonbarrow/internal/standin/backend"
+	"lagoonbarrow/internal/standin/fleet"
 )
 
 // Guards against answers that are partial or belong to another request:
@@ -20,11 +21,11 @@
 // frozen, and callers go away in the middle.
 func TestPropertyAnswersAreWholeAndOwn(t *testing.T) {
 	forSeeds(t, 2, func(t *testing.T, random *rand.Rand) {
-		f := startFleet(t, "", chain(3, 3, serviceSpec{
-			slots:       30,
-			serviceTime: 3 * time.Millisecond,
+		f := startFleet(t, "", chain(3, 3, fleet.Service{
+			Slots:       30,
+			ServiceTime: 3 * time.Millisecond,
 		})...)
-		f.apply(contractFor("residents", apiKey))
+		f.Apply(fleet.ContractFor("residents", fleet.APIKey))
 		stop := make(chan struct{})
 		var whole, refused, aborted atomic.Int64
 		var callers sync.WaitGroup
@@ -53,7 +54,7 @@
 	})
 }
 
-func (f *fleet) fetchAndCheck(random *rand.Rand, id string, whole, refused, aborted *atomic.Int64) {
+func (f *testFleet) fetchAndCheck(random *rand.Rand, id string, whole, refused, aborted *atomic.Int64) {
 	sizes := []int{0, 10, 5000, 300_000, 1_500_000}
 	size := sizes[random.IntN(len(sizes))]
 	patience := 3 * time.Second
@@ -62,52 +63,52 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	entries := f.of("hop1")
+	entries := f.Of("hop1")
 	path := "/lookup/" + id
 	query := fmt.Sprintf("size=%d&own=%s", size, id)
-	answer := entries[random.IntN(len(entries))].do(ctx, call{
-		method: "GET",
-		path:   path + "?" + query,
+	answer := entries[random.IntN(len(entries))].Do(ctx, fleet.Call{
+		Method: "GET",
+		Path:   path + "?" + query,
 	})
 	switch {
-	case answer.err != nil:
+	case answer.Err != nil:
 		aborted.Add(1)
-	case answer.outcome != string(lagoonbarrow.OutcomeDone):
+	case answer.Outcome != string(lagoonbarrow.OutcomeDone):
 		refused.Add(1)
-	case answer.status == 200:
+	case answer.Status == 200:
 		f.checkBody(answer, path, query, size)
 		whole.Add(1)
 	}
 }
 
-func (f *fleet) checkBody(answer response, path, query string, size int) {
+func (f *testFleet) checkBody(answer fleet.Response, path, query string, size int) {
 	f.t.Helper()
 	var body backend.Body
-	if err := json.Unmarshal(answer.body, &body); err != nil {
-		f.t.Errorf("%s: an answer of %d bytes is not whole: %v", path, len(answer.body), err)
+	if err := json.Unmarshal(answer.Body, &body); err != nil {
+		f.t.Errorf("%s: an answer of %d bytes is not whole: %v", path, len(answer.Body), err)
 		return
 	}
 	if body.Path != path || !strings.Contains(body.Query, query) || len(body.Padding) != size {
 		f.t.Errorf("%s?%s got the answer for %s?%s with %d bytes of padding", path, query, body.Path, body.Query, len(body.Padding))
 	}
-	if string(body.Request) != answer.request {
-		f.t.Errorf("%s: the header names request %s, the body %s", path, answer.request, body.Request)
+	if string(body.Request) != answer.Request {
+		f.t.Errorf("%s: the header names request %s, the body %s", path, answer.Request, body.Request)
 	}
 }
 
-func (f *fleet) disturbAnswers(random *rand.Rand, duration time.Duration) {
+func (f *testFleet) disturbAnswers(random *rand.Rand, duration time.Duration) {
 	end := time.Now().Add(duration)
 	for time.Now().Before(end) {
-		node := f.nodes[random.IntN(len(f.nodes))]
+		node := f.Nodes[random.IntN(len(f.Nodes))]
 		switch random.IntN(4) {
 		case 0:
-			node.kill()
+			node.Kill()
 			time.Sleep(100 * time.Millisecond)
-			node.start()
+			node.Start()
 		case 1:
-			node.freeze()
+			node.Freeze()
 			time.Sleep(time.Duration(100+random.IntN(1200)) * time.Millisecond)
-			node.thaw()
+			node.Thaw()
 		case 2:
 			f.switchAll(func(s *backend.Switches) { s.Cut = 0.3 })
 			time.Sleep(400 * time.Millisecond)
@@ -121,8 +122,8 @@
 	}
 }
 
-func (f *fleet) switchAll(change func(*backend.Switches)) {
-	for _, node := range f.nodes {
-		node.backend.Switch(change)
+func (f *testFleet) switchAll(change func(*backend.Switches)) {
+	for _, node := range f.Nodes {
+		node.Backend.Switch(change)
 	}
 }
--- a/internal/history/contract_test.go
+++ b/internal/history/contract_test.go
@@ -13,6 +13,7 @@
 	"github.com/anishathalye/porcupine"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/standin/fleet"
 	"lagoonbarrow/internal/standin/platform"
 )
 
@@ -98,9 +99,9 @@
 // and restarted and the platform fails and loses answers.
 func TestPropertyContractChanges(t *testing.T) {
 	forSeeds(t, 3, func(t *testing.T, random *rand.Rand) {
-		f := startFleet(t, "", chain(2, 4, serviceSpec{
-			slots:       10,
-			serviceTime: time.Millisecond,
+		f := startFleet(t, "", chain(2, 4, fleet.Service{
+			Slots:       10,
+			ServiceTime: time.Millisecond,
 		})...)
 		var history operations
 		watch := f.watchVersions("residents")
@@ -126,45 +127,45 @@
 }
 
 // operate races to change the contract and reads it.
-func (f *fleet) operate(stop chan struct{}, random *rand.Rand, operator int, started time.Time, history *operations) {
+func (f *testFleet) operate(stop chan struct{}, random *rand.Rand, operator int, started time.Time, history *operations) {
 	for round := 1; ; round++ {
 		select {
 		case <-stop:
 			return
 		default:
 		}
-		node := f.nodes[random.IntN(len(f.nodes))]
+		node := f.Nodes[random.IntN(len(f.Nodes))]
 		version := f.readContract(node, operator, started, history)
 		f.writeContract(node, operator, version, operator*1000+round, started, history)
 		time.Sleep(time.Duration(random.IntN(60)) * time.Millisecond)
 	}
 }
 
-func (f *fleet) readContract(node *nodeProcess, operator int, started time.Time, history *operations) uint64 {
+func (f *testFleet) readContract(node *fleet.Node, operator int, started time.Time, history *operations) uint64 {
 	begin := time.Since(started)
-	answer := node.administer(http.MethodGet, "/v1/contracts/residents", nil, nil)
+	answer := node.Administer(http.MethodGet, "/v1/contracts/residents", nil, nil)
 	end := time.Since(started)
 	var record lagoonbarrow.ContractRecord
 	out := registerOutput{}
 	switch {
-	case answer.err == nil && answer.status == http.StatusOK && json.Unmarshal(answer.body, &record) == nil:
+	case answer.Err == nil && answer.Status == http.StatusOK && json.Unmarshal(answer.Body, &record) == nil:
 		out = registerOutput{
 			ok:      true,
 			version: uint64(record.Version),
 			rate:    int(record.Contract.WorkUnitsPerSecond),
 		}
-	case answer.err == nil && answer.status == http.StatusNotFound:
+	case answer.Err == nil && answer.Status == http.StatusNotFound:
 		out.ok = true
 	}
 	history.add(operator, registerInput{}, out, begin, end)
 	return out.version
 }
 
-func (f *fleet) writeContract(node *nodeProcess, operator int, version uint64, rate int, started time.Time, history *operations) {
-	contract := contractFor("residents", apiKey)
+func (f *testFleet) writeContract(node *fleet.Node, operator int, version uint64, rate int, started time.Time, history *operations) {
+	contract := fleet.ContractFor("residents", fleet.APIKey)
 	contract.WorkUnitsPerSecond = lagoonbarrow.WorkUnits(rate)
 	begin := time.Since(started)
-	answer := node.putContract(contract, lagoonbarrow.ContractVersion(version))
+	answer := node.PutContract(contract, lagoonbarrow.ContractVersion(version))
 	end := time.Since(started)
 	in := registerInput{
 		write:    true,
@@ -173,17 +174,17 @@
 	}
 	out := registerOutput{}
 	switch {
-	case answer.err == nil && answer.status < http.StatusMultipleChoices:
+	case answer.Err == nil && answer.Status < http.StatusMultipleChoices:
 		var record lagoonbarrow.ContractRecord
-		if err := json.Unmarshal(answer.body, &record); err != nil {
+		if err := json.Unmarshal(answer.Body, &record); err != nil {
 			f.t.Error(err)
 			return
 		}
 		out.ok = true
 		out.version = uint64(record.Version)
 		history.accept(record)
-	case answer.err == nil && (answer.status == http.StatusConflict || answer.status == http.StatusPreconditionFailed):
-	case answer.err == nil && answer.status == http.StatusServiceUnavailable:
+	case answer.Err == nil && (answer.Status == http.StatusConflict || answer.Status == http.StatusPreconditionFailed):
+	case answer.Err == nil && answer.Status == http.StatusServiceUnavailable:
 		// Nothing was done, so there is no operation.
 		return
 	default:
@@ -217,39 +218,39 @@
 }
 
 // disturbControl injects faults into nodes and the platform.
-func (f *fleet) disturbControl(random *rand.Rand, duration time.Duration) {
+func (f *testFleet) disturbControl(random *rand.Rand, duration time.Duration) {
 	end := time.Now().Add(duration)
 	for time.Now().Before(end) {
-		node := f.nodes[random.IntN(len(f.nodes))]
+		node := f.Nodes[random.IntN(len(f.Nodes))]
 		switch random.IntN(5) {
 		case 0:
-			node.kill()
+			node.Kill()
 			time.Sleep(200 * time.Millisecond)
-			node.start()
+			node.Start()
 		case 1:
-			node.freeze()
+			node.Freeze()
 			time.Sleep(time.Duration(200+random.IntN(1500)) * time.Millisecond)
-			node.thaw()
+			node.Thaw()
 		case 2:
-			f.platform.SetFaults(platform.Faults{
+			f.Platform.SetFaults(platform.Faults{
 				LoseAnswers: 0.5,
 				Seed:        random.Uint64(),
 			})
 			time.Sleep(700 * time.Millisecond)
 		case 3:
-			f.platform.SetFaults(platform.Faults{
+			f.Platform.SetFaults(platform.Faults{
 				Down: platform.DownRefuse,
 			})
 			time.Sleep(400 * time.Millisecond)
 		case 4:
-			f.platform.SetFaults(platform.Faults{
+			f.Platform.SetFaults(platform.Faults{
 				DelayWrites:      lagoonbarrow.Duration(700 * time.Millisecond),
 				DelayProbability: 0.5,
 				Seed:             random.Uint64(),
 			})
 			time.Sleep(700 * time.Millisecond)
 		}
-		f.platform.SetFaults(platform.Faults{})
+		f.Platform.SetFaults(platform.Faults{})
 		time.Sleep(time.Duration(random.IntN(300)) * time.Millisecond)
 	}
 }
@@ -261,11 +262,11 @@
 	ended sync.WaitGroup
 }
 
-func (f *fleet) watchVersions(customer lagoonbarrow.CustomerID) *versionWatch {
+func (f *testFleet) watchVersions(customer lagoonbarrow.CustomerID) *versionWatch {
 	watch := &versionWatch{
 		stop: make(chan struct{}),
 	}
-	for _, node := range f.nodes {
+	for _, node := range f.Nodes {
 		watch.ended.Add(1)
 		go func() {
 			defer watch.ended.Done()
@@ -275,7 +276,7 @@
 	return watch
 }
 
-func (f *fleet) watchNode(node *nodeProcess, customer lagoonbarrow.CustomerID, stop chan struct{}) {
+func (f *testFleet) watchNode(node *fleet.Node, customer lagoonbarrow.CustomerID, stop chan struct{}) {
 	highest := lagoonbarrow.ContractVersion(0)
 	for {
 		select {
@@ -283,12 +284,12 @@
 			return
 		case <-time.After(20 * time.Millisecond):
 		}
-		record := node.inForce(customer)
+		record := node.InForce(customer)
 		if record.Version == 0 {
 			continue
 		}
 		if record.Version < highest {
-			f.t.Errorf("%s serves version %d after version %d", node.name, record.Version, highest)
+			f.t.Errorf("%s serves version %d after version %d", node.Name, record.Version, highest)
 		}
 		highest = max(highest, record.Version)
 	}
@@ -296,28 +297,28 @@
 
 // checkLastChange makes one more change after the faults ended and checks that
 // every node has it in force within the bound.
-func (f *fleet) checkLastChange(history *operations) {
+func (f *testFleet) checkLastChange(history *operations) {
 	f.t.Helper()
 	var record lagoonbarrow.ContractRecord
-	f.await("a change is accepted after the faults", startTimeout, func() bool {
-		answer := f.nodes[0].administer(http.MethodGet, "/v1/contracts/residents", nil, nil)
-		version, _ := strconv.Unquote(answer.etag)
+	f.Await("a change is accepted after the faults", fleet.StartTimeout, func() bool {
+		answer := f.Nodes[0].Administer(http.MethodGet, "/v1/contracts/residents", nil, nil)
+		version, _ := strconv.Unquote(answer.ETag)
 		present, _ := strconv.ParseUint(version, 10, 64)
-		contract := contractFor("residents", apiKey)
+		contract := fleet.ContractFor("residents", fleet.APIKey)
 		contract.WorkUnitsPerSecond = 9999
-		answer = f.nodes[0].putContract(contract, lagoonbarrow.ContractVersion(present))
-		return answer.err == nil && answer.status < http.StatusMultipleChoices && json.Unmarshal(answer.body, &record) == nil
+		answer = f.Nodes[0].PutContract(contract, lagoonbarrow.ContractVersion(present))
+		return answer.Err == nil && answer.Status < http.StatusMultipleChoices && json.Unmarshal(answer.Body, &record) == nil
 	})
 	accepted := time.Now()
-	for _, node := range f.nodes {
-		f.await(fmt.Sprintf("%s has version %d in force", node.name, record.Version), inForceLimit, func() bool {
-			return node.inForce("residents").Version >= record.Version
+	for _, node := range f.Nodes {
+		f.Await(fmt.Sprintf("%s has version %d in force", node.Name, record.Version), inForceLimit, func() bool {
+			return node.InForce("residents").Version >= record.Version
 		})
 	}
-	f.t.Logf("%d accepted changes; the last was in force on %d nodes after %s", len(history.accepted), len(f.nodes), time.Since(accepted).Round(time.Millisecond))
+	f.t.Logf("%d accepted changes; the last was in force on %d nodes after %s", len(history.accepted), len(f.Nodes), time.Since(accepted).Round(time.Millisecond))
 }
 
-func (f *fleet) checkRegister(history *operations) {
+func (f *testFleet) checkRegister(history *operations) {
 	f.t.Helper()
 	result := porcupine.CheckOperationsTimeout(registerModel.ToModel(), history.list, time.Minute)
 	if result != porcupine.Ok {
--- a/internal/history/filing_test.go
+++ b/internal/history/filing_test.go
@@ -10,13 +10,14 @@
 
 	"lagoonbarrow"
 	"lagoonbarrow/internal/standin/backend"
+	"lagoonbarrow/internal/standin/fleet"
 	"lagoonbarrow/internal/standin/platform"
 )
 
 // filing is one try at a filing and what its caller heard.
 type filing struct {
 	key    string
-	answer response
+	answer fleet.Response
 }
 
 // filings collects tries from concurrent callers.
@@ -38,21 +39,21 @@
 func TestPropertyFilingsRunAtMostOnce(t *testing.T) {
 	forSeeds(t, 3, func(t *testing.T, random *rand.Rand) {
 		f := startFleet(t, "",
-			serviceSpec{
-				name:        "minutes",
-				instances:   4,
-				slots:       20,
-				serviceTime: 20 * time.Millisecond,
-				downstream:  []lagoonbarrow.ServiceName{"registry"},
+			fleet.Service{
+				Name:        "minutes",
+				Instances:   4,
+				Slots:       20,
+				ServiceTime: 20 * time.Millisecond,
+				Downstream:  []lagoonbarrow.ServiceName{"registry"},
 			},
-			serviceSpec{
-				name:        "registry",
-				instances:   2,
-				slots:       10,
-				serviceTime: 5 * time.Millisecond,
+			fleet.Service{
+				Name:        "registry",
+				Instances:   2,
+				Slots:       10,
+				ServiceTime: 5 * time.Millisecond,
 			},
 		)
-		f.apply(contractFor("residents", apiKey))
+		f.Apply(fleet.ContractFor("residents", fleet.APIKey))
 		var history filings
 		stop := make(chan struct{})
 		var callers sync.WaitGroup
@@ -74,8 +75,8 @@
 
 // fileUntil sends filings. A small set of keys, new each second, makes callers
 // collide on keys that have not run yet.
-func (f *fleet) fileUntil(stop chan struct{}, random *rand.Rand, history *filings) {
-	entries := f.of("minutes")
+func (f *testFleet) fileUntil(stop chan struct{}, random *rand.Rand, history *filings) {
+	entries := f.Of("minutes")
 	started := time.Now()
 	for {
 		select {
@@ -85,11 +86,11 @@
 		}
 		key := fmt.Sprintf("resolution-%d-%d", int(time.Since(started).Seconds()), random.IntN(60))
 		ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
-		answer := entries[random.IntN(len(entries))].do(ctx, call{
-			method: "POST",
-			path:   "/filing/" + key,
-			key:    key,
-			body:   "signed " + key,
+		answer := entries[random.IntN(len(entries))].Do(ctx, fleet.Call{
+			Method: "POST",
+			Path:   "/filing/" + key,
+			Key:    key,
+			Body:   "signed " + key,
 		})
 		cancel()
 		history.add(filing{
@@ -101,34 +102,34 @@
 }
 
 // disturb injects faults for the given time.
-func (f *fleet) disturb(random *rand.Rand, duration time.Duration) {
-	entries := f.of("minutes")
+func (f *testFleet) disturb(random *rand.Rand, duration time.Duration) {
+	entries := f.Of("minutes")
 	end := time.Now().Add(duration)
 	for time.Now().Before(end) {
 		node := entries[random.IntN(len(entries))]
 		switch random.IntN(6) {
 		case 0:
-			node.kill()
+			node.Kill()
 			time.Sleep(300 * time.Millisecond)
-			node.start()
+			node.Start()
 		case 1:
-			node.freeze()
+			node.Freeze()
 			time.Sleep(time.Duration(200+random.IntN(3500)) * time.Millisecond)
-			node.thaw()
+			node.Thaw()
 		case 2:
-			f.platform.SetFaults(platform.Faults{
+			f.Platform.SetFaults(platform.Faults{
 				Down: platform.DownRefuse,
 			})
 			time.Sleep(400 * time.Millisecond)
 		case 3:
-			f.platform.SetFaults(platform.Faults{
+			f.Platform.SetFaults(platform.Faults{
 				LoseAnswers: 0.4,
 				LoseReads:   0.2,
 				Seed:        random.Uint64(),
 			})
 			time.Sleep(800 * time.Millisecond)
 		case 4:
-			f.platform.SetFaults(platform.Faults{
+			f.Platform.SetFaults(platform.Faults{
 				DelayWrites:      lagoonbarrow.Duration(900 * time.Millisecond),
 				DelayProbability: 0.4,
 				Seed:             random.Uint64(),
@@ -136,29 +137,29 @@
 			time.Sleep(800 * time.Millisecond)
 		case 5:
 			for _, entry := range entries {
-				entry.backend.Switch(func(s *backend.Switches) { s.Cut = 0.3 })
+				entry.Backend.Switch(func(s *backend.Switches) { s.Cut = 0.3 })
 			}
 			time.Sleep(400 * time.Millisecond)
 			for _, entry := range entries {
-				entry.backend.Switch(func(s *backend.Switches) { s.Cut = 0 })
+				entry.Backend.Switch(func(s *backend.Switches) { s.Cut = 0 })
 			}
 		}
-		f.platform.SetFaults(platform.Faults{})
+		f.Platform.SetFaults(platform.Faults{})
 		time.Sleep(time.Duration(random.IntN(200)) * time.Millisecond)
 	}
 }
 
 // settle waits until runs that outlived their callers have ended.
-func (f *fleet) settle() {
+func (f *testFleet) settle() {
 	time.Sleep(3500 * time.Millisecond)
 }
 
-func (f *fleet) checkFilings(tries []filing) {
+func (f *testFleet) checkFilings(tries []filing) {
 	f.t.Helper()
 	runsOfKey := map[string]int{}
 	ranRequests := map[string]bool{}
-	for _, node := range f.of("minutes") {
-		for _, run := range node.backend.Runs() {
+	for _, node := range f.Of("minutes") {
+		for _, run := range node.Backend.Runs() {
 			runsOfKey[run.Key]++
 			ranRequests[string(run.Request)] = true
 		}
@@ -180,27 +181,27 @@
 	}
 }
 
-func outcomeOf(answer response) string {
-	if answer.err != nil {
+func outcomeOf(answer fleet.Response) string {
+	if answer.Err != nil {
 		return "no answer"
 	}
-	return answer.outcome
+	return answer.Outcome
 }
 
-func (f *fleet) checkTry(try filing, ranRequests map[string]bool, bodies map[string]string) {
+func (f *testFleet) checkTry(try filing, ranRequests map[string]bool, bodies map[string]string) {
 	f.t.Helper()
 	answer := try.answer
-	if answer.err != nil {
+	if answer.Err != nil {
 		return
 	}
-	if answer.outcome == string(lagoonbarrow.OutcomeNotRun) && ranRequests[answer.request] {
-		f.t.Errorf("%s: request %s was told not run (%s) and ran", try.key, answer.request, answer.reason)
+	if answer.Outcome == string(lagoonbarrow.OutcomeNotRun) && ranRequests[answer.Request] {
+		f.t.Errorf("%s: request %s was told not run (%s) and ran", try.key, answer.Request, answer.Reason)
 	}
-	if answer.outcome != string(lagoonbarrow.OutcomeDone) || answer.status != 200 {
+	if answer.Outcome != string(lagoonbarrow.OutcomeDone) || answer.Status != 200 {
 		return
 	}
-	if earlier, found := bodies[try.key]; found && earlier != string(answer.body) {
-		f.t.Errorf("%s got two different answers:\n%s\n%s", try.key, earlier, answer.body)
+	if earlier, found := bodies[try.key]; found && earlier != string(answer.Body) {
+		f.t.Errorf("%s got two different answers:\n%s\n%s", try.key, earlier, answer.Body)
 	}
-	bodies[try.key] = string(answer.body)
+	bodies[try.key] = string(answer.Body)
 }
--- a/internal/history/retry_test.go
+++ b/internal/history/retry_test.go
@@ -10,20 +10,21 @@
 
 	"lagoonbarrow"
 	"lagoonbarrow/internal/standin/backend"
+	"lagoonbarrow/internal/standin/fleet"
 )
 
 // tokens is what contractFor gives to look-ups.
 const tokens = 3
 
 // chain returns services that each call the next one.
-func chain(depth, instances int, service serviceSpec) []serviceSpec {
-	services := make([]serviceSpec, depth)
+func chain(depth, instances int, service fleet.Service) []fleet.Service {
+	services := make([]fleet.Service, depth)
 	for position := range services {
 		services[position] = service
-		services[position].name = fmt.Sprintf("hop%d", position+1)
-		services[position].instances = instances
+		services[position].Name = fmt.Sprintf("hop%d", position+1)
+		services[position].Instances = instances
 		if position+1 < depth {
-			services[position].downstream = []lagoonbarrow.ServiceName{
+			services[position].Downstream = []lagoonbarrow.ServiceName{
 				lagoonbarrow.ServiceName(fmt.Sprintf("hop%d", position+2)),
 			}
 		}
@@ -88,17 +89,17 @@
 }
 
 func checkRetries(t *testing.T, random *rand.Rand, depth, instances int) {
-	f := startFleet(t, "", chain(depth, instances, serviceSpec{
-		slots:       20,
-		serviceTime: time.Millisecond,
-		retries:     3,
+	f := startFleet(t, "", chain(depth, instances, fleet.Service{
+		Slots:       20,
+		ServiceTime: time.Millisecond,
+		Retries:     3,
 	})...)
-	f.apply(contractFor("residents", apiKey))
+	f.Apply(fleet.ContractFor("residents", fleet.APIKey))
 	deepest := fmt.Sprintf("hop%d", depth)
 	for position, failure := range failures {
 		prefix := fmt.Sprintf("/lookup/%d-", position)
-		for _, node := range f.of(deepest) {
-			node.backend.Switch(func(s *backend.Switches) {
+		for _, node := range f.Of(deepest) {
+			node.Backend.Switch(func(s *backend.Switches) {
 				*s = backend.Switches{}
 				failure.change(s)
 			})
@@ -110,8 +111,8 @@
 
 // callHard makes look-ups that re-send each failed request three times through
 // other entry nodes.
-func (f *fleet) callHard(random *rand.Rand, prefix string, count int) {
-	entries := f.of(f.nodes[0].service.name)
+func (f *testFleet) callHard(random *rand.Rand, prefix string, count int) {
+	entries := f.Of(f.Nodes[0].Service.Name)
 	var callers sync.WaitGroup
 	for position := range count {
 		order := random.Perm(len(entries))
@@ -121,13 +122,13 @@
 			path := fmt.Sprintf("%s%d", prefix, position)
 			for attempt := range 4 {
 				ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
-				answer := entries[order[attempt%len(order)]].do(ctx, call{
-					method:     "GET",
-					path:       path,
-					requestKey: "key-" + path[len("/lookup/"):],
+				answer := entries[order[attempt%len(order)]].Do(ctx, fleet.Call{
+					Method:     "GET",
+					Path:       path,
+					RequestKey: "key-" + path[len("/lookup/"):],
 				})
 				cancel()
-				if answer.err == nil && answer.status < 500 {
+				if answer.Err == nil && answer.Status < 500 {
 					return
 				}
 			}
@@ -137,16 +138,16 @@
 }
 
 // checkRuns checks that no service ran a request more often than 1 + tokens.
-func (f *fleet) checkRuns(failure, prefix string) {
+func (f *testFleet) checkRuns(failure, prefix string) {
 	f.t.Helper()
 	runs := map[string]map[string]int{}
-	for _, node := range f.nodes {
-		if runs[node.service.name] == nil {
-			runs[node.service.name] = map[string]int{}
+	for _, node := range f.Nodes {
+		if runs[node.Service.Name] == nil {
+			runs[node.Service.Name] = map[string]int{}
 		}
-		for _, run := range node.backend.Runs() {
+		for _, run := range node.Backend.Runs() {
 			if len(run.Path) > len(prefix) && run.Path[:len(prefix)] == prefix {
-				runs[node.service.name][run.Path]++
+				runs[node.Service.Name][run.Path]++
 			}
 		}
 	}
--- a/internal/history/shed_test.go
+++ b/internal/history/shed_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/standin/fleet"
 )
 
 // arrival is a request of the overload and what its caller heard.
@@ -16,7 +17,7 @@
 	kind   string
 	at     time.Time
 	took   time.Duration
-	answer response
+	answer fleet.Response
 }
 
 // Guards against filings that are refused for overload while browsing is still
@@ -25,21 +26,21 @@
 func TestPropertyFilingsAreShedLast(t *testing.T) {
 	forSeeds(t, 2, func(t *testing.T, random *rand.Rand) {
 		f := startFleet(t, "",
-			serviceSpec{
-				name:        "minutes",
-				instances:   3,
-				slots:       20,
-				serviceTime: 10 * time.Millisecond,
-				downstream:  []lagoonbarrow.ServiceName{"registry"},
+			fleet.Service{
+				Name:        "minutes",
+				Instances:   3,
+				Slots:       20,
+				ServiceTime: 10 * time.Millisecond,
+				Downstream:  []lagoonbarrow.ServiceName{"registry"},
 			},
-			serviceSpec{
-				name:        "registry",
-				instances:   2,
-				slots:       5,
-				serviceTime: 20 * time.Millisecond,
+			fleet.Service{
+				Name:        "registry",
+				Instances:   2,
+				Slots:       5,
+				ServiceTime: 20 * time.Millisecond,
 			},
 		)
-		f.apply(contractFor("residents", apiKey))
+		f.Apply(fleet.ContractFor("residents", fleet.APIKey))
 		// The registry serves 2 x 5 / 20 ms = 500 calls a second.
 		arrivals := f.overload(random, 1000, 5*time.Second)
 		f.checkShedding(arrivals)
@@ -48,11 +49,11 @@
 
 // overload sends open-loop arrivals: a tenth filings, three tenths look-ups and
 // six tenths browsing.
-func (f *fleet) overload(random *rand.Rand, perSecond int, duration time.Duration) []arrival {
+func (f *testFleet) overload(random *rand.Rand, perSecond int, duration time.Duration) []arrival {
 	kinds := []string{"filing", "lookup", "lookup", "lookup", "browse", "browse", "browse", "browse", "browse", "browse"}
 	count := int(duration.Seconds() * float64(perSecond))
 	arrivals := make([]arrival, count)
-	entries := f.of(f.nodes[0].service.name)
+	entries := f.Of(f.Nodes[0].Service.Name)
 	var pending sync.WaitGroup
 	started := time.Now()
 	for position := range arrivals {
@@ -70,19 +71,19 @@
 	return arrivals
 }
 
-func (f *fleet) arrive(node *nodeProcess, kind string, number int) arrival {
-	request := call{
-		method: "GET",
-		path:   fmt.Sprintf("/%s/%d", kind, number),
+func (f *testFleet) arrive(node *fleet.Node, kind string, number int) arrival {
+	request := fleet.Call{
+		Method: "GET",
+		Path:   fmt.Sprintf("/%s/%d", kind, number),
 	}
 	if kind == "filing" {
-		request.method = "POST"
-		request.key = fmt.Sprintf("filing-%d", number)
+		request.Method = "POST"
+		request.Key = fmt.Sprintf("filing-%d", number)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	at := time.Now()
-	answer := node.do(ctx, request)
+	answer := node.Do(ctx, request)
 	return arrival{
 		kind:   kind,
 		at:     at,
@@ -91,19 +92,19 @@
 	}
 }
 
-func (f *fleet) checkShedding(arrivals []arrival) {
+func (f *testFleet) checkShedding(arrivals []arrival) {
 	f.t.Helper()
 	served := map[string]int{}
 	refused := map[string]int{}
 	browsing := 0
 	for _, current := range arrivals {
-		if current.answer.err == nil && current.answer.status == 200 {
+		if current.answer.Err == nil && current.answer.Status == 200 {
 			served[current.kind]++
 			continue
 		}
 		refused[current.kind]++
 		if current.kind == "filing" {
-			f.t.Errorf("a filing was refused: %v %d %s %s", current.answer.err, current.answer.status, current.answer.reason, current.answer.body)
+			f.t.Errorf("a filing was refused: %v %d %s %s", current.answer.Err, current.answer.Status, current.answer.Reason, current.answer.Body)
 		}
 	}
 	browsing = served["browse"]
--- a/internal/history/stop_test.go
+++ b/internal/history/stop_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/standin/fleet"
 )
 
 // leaveLimit is the bound after which a leaving instance gets no new work.
@@ -20,20 +21,20 @@
 // entry nodes as a load balancer does that reads /readyz every 300 ms.
 func TestPropertyGracefulStopCutsNothing(t *testing.T) {
 	forSeeds(t, 2, func(t *testing.T, random *rand.Rand) {
-		f := startFleet(t, "", chain(3, 3, serviceSpec{
-			slots:       30,
-			serviceTime: 10 * time.Millisecond,
+		f := startFleet(t, "", chain(3, 3, fleet.Service{
+			Slots:       30,
+			ServiceTime: 10 * time.Millisecond,
 		})...)
-		f.apply(contractFor("residents", apiKey))
+		f.Apply(fleet.ContractFor("residents", fleet.APIKey))
 		load := f.startLoad(random, 12)
 		load.followReadiness()
-		for _, node := range f.nodes {
-			if !node.stop(20 * time.Second) {
-				t.Errorf("%s did not stop", node.name)
+		for _, node := range f.Nodes {
+			if !node.Stop(20 * time.Second) {
+				t.Errorf("%s did not stop", node.Name)
 			}
-			node.start()
-			f.await(node.name+" is ready again", startTimeout, func() bool {
-				return node.ready() && node.inForce("residents").Version > 0
+			node.Start()
+			f.Await(node.Name+" is ready again", fleet.StartTimeout, func() bool {
+				return node.Ready() && node.InForce("residents").Version > 0
 			})
 		}
 		load.stop()
@@ -48,28 +49,28 @@
 // peers that were frozen when it was announced.
 func TestPropertyLeavingReceivesNoWork(t *testing.T) {
 	forSeeds(t, 2, func(t *testing.T, random *rand.Rand) {
-		f := startFleet(t, "", chain(2, 4, serviceSpec{
-			slots:       30,
-			serviceTime: 20 * time.Millisecond,
+		f := startFleet(t, "", chain(2, 4, fleet.Service{
+			Slots:       30,
+			ServiceTime: 20 * time.Millisecond,
 		})...)
-		f.apply(contractFor("residents", apiKey))
+		f.Apply(fleet.ContractFor("residents", fleet.APIKey))
 		load := f.startLoad(random, 12)
 		time.Sleep(500 * time.Millisecond)
-		leaving := f.of("hop2")[random.IntN(4)]
-		peer := f.of("hop1")[random.IntN(4)]
+		leaving := f.Of("hop2")[random.IntN(4)]
+		peer := f.Of("hop1")[random.IntN(4)]
 		// The peer sleeps through the announcement and wakes with an old view.
 		load.avoid(peer)
 		time.Sleep(100 * time.Millisecond)
-		peer.freeze()
+		peer.Freeze()
 		began := time.Now()
-		leaving.signal(15)
+		leaving.Signal(15)
 		time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
-		peer.thaw()
+		peer.Thaw()
 		load.avoid(nil)
 		time.Sleep(leaveLimit + time.Second)
 		load.stop()
 		last := time.Duration(0)
-		for _, run := range leaving.backend.Runs() {
+		for _, run := range leaving.Backend.Runs() {
 			last = max(last, run.Start.Sub(began))
 		}
 		t.Logf("last new work %s after the leave began; %d requests, %d failed", last, load.requests.Load(), load.failed.Load())
@@ -81,12 +82,12 @@
 
 // load is a number of callers that send look-ups one after another.
 type load struct {
-	fleet    *fleet
+	fleet    *testFleet
 	requests atomic.Int64
 	failed   atomic.Int64
 	ending   chan struct{}
 	callers  sync.WaitGroup
-	avoided  atomic.Pointer[nodeProcess]
+	avoided  atomic.Pointer[fleet.Node]
 	mu       sync.Mutex
 	failure  string
 	// notReady holds the entry nodes that answered so when last asked.
@@ -98,12 +99,12 @@
 
 // followReadiness keeps requests away from entry nodes that are not ready.
 func (l *load) followReadiness() {
-	for _, node := range l.fleet.of(l.fleet.nodes[0].service.name) {
+	for _, node := range l.fleet.Of(l.fleet.Nodes[0].Service.Name) {
 		l.callers.Add(1)
 		go func() {
 			defer l.callers.Done()
 			for {
-				l.notReady.Store(node.name, !node.ready())
+				l.notReady.Store(node.Name, !node.Ready())
 				select {
 				case <-l.ending:
 					return
@@ -114,12 +115,12 @@
 	}
 }
 
-func (l *load) unready(node *nodeProcess) bool {
-	state, known := l.notReady.Load(node.name)
+func (l *load) unready(node *fleet.Node) bool {
+	state, known := l.notReady.Load(node.Name)
 	return known && state.(bool)
 }
 
-func (f *fleet) startLoad(random *rand.Rand, callers int) *load {
+func (f *testFleet) startLoad(random *rand.Rand, callers int) *load {
 	l := &load{
 		fleet:  f,
 		ending: make(chan struct{}),
@@ -143,31 +144,31 @@
 }
 
 func (l *load) once(random *rand.Rand, id string) {
-	entries := l.fleet.of(l.fleet.nodes[0].service.name)
+	entries := l.fleet.Of(l.fleet.Nodes[0].Service.Name)
 	node := entries[random.IntN(len(entries))]
 	if node == l.avoided.Load() || l.unready(node) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	answer := node.do(ctx, call{
-		method: "GET",
-		path:   "/lookup/" + id,
+	answer := node.Do(ctx, fleet.Call{
+		Method: "GET",
+		Path:   "/lookup/" + id,
 	})
 	l.requests.Add(1)
-	if answer.err == nil && answer.status == 200 && answer.outcome == string(lagoonbarrow.OutcomeDone) {
+	if answer.Err == nil && answer.Status == 200 && answer.Outcome == string(lagoonbarrow.OutcomeDone) {
 		return
 	}
 	l.failed.Add(1)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.failure == "" {
-		l.failure = fmt.Sprintf("%s at %s: %v %d %s %s", id, node.name, answer.err, answer.status, answer.outcome, answer.body)
+		l.failure = fmt.Sprintf("%s at %s: %v %d %s %s", id, node.Name, answer.Err, answer.Status, answer.Outcome, answer.Body)
 	}
 }
 
 // avoid takes a node out of the callers' list; nil puts it back.
-func (l *load) avoid(node *nodeProcess) {
+func (l *load) avoid(node *fleet.Node) {
 	l.avoided.Store(node)
 }
 
--- a/internal/history/node_test.go
+++ b/internal/standin/fleet/node.go
@@ -1,4 +1,4 @@
-package history
+package fleet
 
 import (
 	"bytes"
@@ -16,22 +16,22 @@
 	"lagoonbarrow/internal/standin/backend"
 )
 
-// nodeProcess is a node process that faults are injected into.
-type nodeProcess struct {
-	fleet   *fleet
-	name    string
-	zone    string
-	service serviceSpec
-	backend *backend.Server
-	address lagoonbarrow.Address
-	entry   lagoonbarrow.Address
-	local   lagoonbarrow.Address
-	peer    lagoonbarrow.Address
+// Node is a node process that faults are injected into.
+type Node struct {
+	fleet   *Fleet
+	Name    string
+	Zone    string
+	Service Service
+	Backend *backend.Server
+	Address lagoonbarrow.Address
+	Entry   lagoonbarrow.Address
+	Local   lagoonbarrow.Address
+	Peer    lagoonbarrow.Address
 	// advertise is where other nodes connect to; peer when empty.
-	advertise lagoonbarrow.Address
+	Advertise lagoonbarrow.Address
 	// platform is where the node finds the platform; the fleet's when empty.
-	platform lagoonbarrow.Address
-	admin    lagoonbarrow.Address
+	Platform lagoonbarrow.Address
+	Admin    lagoonbarrow.Address
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
@@ -58,27 +58,27 @@
 	return b.text.String()
 }
 
-func (n *nodeProcess) settings() string {
+func (n *Node) settings() string {
 	platform := n.fleet.address
-	if n.platform != "" {
-		platform = n.platform
+	if n.Platform != "" {
+		platform = n.Platform
 	}
 	lines := []string{
 		"[instance]",
-		"id = " + n.name,
-		"service = " + n.service.name,
-		"zone = " + n.zone,
+		"id = " + n.Name,
+		"service = " + n.Service.Name,
+		"zone = " + n.Zone,
 		"region = north",
 		"[listen]",
-		"entry-address = " + string(n.entry),
-		"local-address = " + string(n.local),
-		"peer-address = " + string(n.peer),
-		"peer-advertise-address = " + string(n.advertise),
-		"admin-address = " + string(n.admin),
+		"entry-address = " + string(n.Entry),
+		"local-address = " + string(n.Local),
+		"peer-address = " + string(n.Peer),
+		"peer-advertise-address = " + string(n.Advertise),
+		"admin-address = " + string(n.Admin),
 		"[backend]",
-		"address = " + string(n.address),
+		"address = " + string(n.Address),
 		"health-path = /health",
-		fmt.Sprintf("slots = %d", n.service.slots),
+		fmt.Sprintf("slots = %d", n.Service.Slots),
 		"connections = 500",
 		"[platform]",
 		"address = " + string(platform),
@@ -95,16 +95,16 @@
 }
 
 // start starts the process; it may be called again after the process ended.
-func (n *nodeProcess) start() {
-	n.fleet.t.Helper()
-	path := filepath.Join(n.fleet.folder, n.name+".ini")
+func (n *Node) Start() {
+	n.fleet.TB.Helper()
+	path := filepath.Join(n.fleet.folder, n.Name+".ini")
 	if err := os.WriteFile(path, []byte(n.settings()), 0o600); err != nil {
-		n.fleet.t.Fatal(err)
+		n.fleet.TB.Fatal(err)
 	}
-	cmd := exec.Command(binary, "node", "--settings", path)
+	cmd := exec.Command(n.fleet.binary, "node", "--settings", path)
 	cmd.Stderr = &n.log
 	if err := cmd.Start(); err != nil {
-		n.fleet.t.Fatal(err)
+		n.fleet.TB.Fatal(err)
 	}
 	ended := make(chan struct{})
 	go func() {
@@ -118,31 +118,31 @@
 	n.frozen = false
 }
 
-func (n *nodeProcess) signal(signal syscall.Signal) {
+func (n *Node) Signal(signal syscall.Signal) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	_ = n.cmd.Process.Signal(signal)
 }
 
 // kill ends the process at once, as a failed instance would.
-func (n *nodeProcess) kill() {
-	n.signal(syscall.SIGKILL)
+func (n *Node) Kill() {
+	n.Signal(syscall.SIGKILL)
 	<-n.ended
 }
 
 // freeze pauses the process.
-func (n *nodeProcess) freeze() {
-	n.signal(syscall.SIGSTOP)
+func (n *Node) Freeze() {
+	n.Signal(syscall.SIGSTOP)
 }
 
 // thaw lets a paused process go on.
-func (n *nodeProcess) thaw() {
-	n.signal(syscall.SIGCONT)
+func (n *Node) Thaw() {
+	n.Signal(syscall.SIGCONT)
 }
 
 // stop asks for a graceful stop and reports whether it ended within the limit.
-func (n *nodeProcess) stop(limit time.Duration) bool {
-	n.signal(syscall.SIGTERM)
+func (n *Node) Stop(limit time.Duration) bool {
+	n.Signal(syscall.SIGTERM)
 	select {
 	case <-n.ended:
 		return true
@@ -151,8 +151,8 @@
 	}
 }
 
-func (n *nodeProcess) ready() bool {
-	response, err := n.fleet.http.Get("http://" + string(n.admin) + "/readyz")
+func (n *Node) Ready() bool {
+	response, err := n.fleet.http.Get("http://" + string(n.Admin) + "/readyz")
 	if err != nil {
 		return false
 	}
