Make customer limits follow demand in random traffic

A report gives up what a share exceeds the demand by; measurements of less than a quarter second no longer count as a fall; large changes count only with enough requests; shares little above their target stay; most of the free rate is handed out; demand that is gone is reported after 250 ms; a bucket holds one second of its share.

--- a/internal/process/quota/bucket.go
+++ b/internal/process/quota/bucket.go
@@ -56,11 +56,16 @@
 	}
 }
 
+// capacity returns the work that a bucket holds: the share's part of the burst,
+// or what the share gives in a second if that is more, because shares follow
+// the demand no faster. Over all nodes together that is the burst or one second
+// of the rate, whichever is more.
 func (l limits) capacity(share lagoonbarrow.WorkUnits) lagoonbarrow.WorkUnits {
 	if l.rate <= 0 {
 		return 0
 	}
-	return l.burst * min(share/l.rate, 1)
+	part := min(share/l.rate, 1)
+	return min(l.burst, max(l.burst, l.rate)*part)
 }
 
 // share returns the share in force at a time. A contract with a lower rate
--- a/internal/process/quota/ledger.go
+++ b/internal/process/quota/ledger.go
@@ -13,6 +13,18 @@
 // report would take 60 million steps a second.
 const sweepInterval = 250 * time.Millisecond
 
+// The parts of the free rate that are handed out. A holder's first report may
+// be the first of many that arrive within milliseconds: with half of the free
+// rate, the fourth of four nodes with a tenth of the rate each was refused
+// requests for 2 s, until the others gave shares back.
+const (
+	newcomerRoom    = 0.25
+	establishedRoom = 0.9
+)
+
+// shrinkStep is the part by which a share must be too large to be made smaller.
+const shrinkStep = 0.2
+
 // holder is a process that shares are granted to.
 type holder struct {
 	instance lagoonbarrow.InstanceID
@@ -72,15 +84,17 @@
 	if sequence <= present.sequence {
 		return answerEntry{}, false
 	}
+	established := present.sequence > 0
 	present.sequence = sequence
 	present.reported = now
 	customer.replaceDemand(present.demand, entry.Demand)
 	present.demand = entry.Demand
 	customer.outstanding -= present.largest()
-	present.keepOnly(entry.Held)
+	present.keepOnly(entry.Held, entry.Using)
+	wanted := steady(present.largest(), customer.target(entry.Demand, rate, established))
 	next := grant{
 		id:    l.next,
-		share: max(0, min(customer.target(entry.Demand, rate), rate-customer.outstanding)),
+		share: max(0, min(wanted, rate-customer.outstanding)),
 		until: now.Add(l.life),
 	}
 	l.next++
@@ -93,6 +107,16 @@
 	}, true
 }
 
+// steady keeps the share in use when it is little above the target. A smaller
+// share counts as outstanding at its former size until the holder has confirmed
+// it; with each change by chance, about a tenth of the rate would be lost.
+func steady(held, target lagoonbarrow.WorkUnits) lagoonbarrow.WorkUnits {
+	if target < held && target >= held*(1-shrinkStep) {
+		return held
+	}
+	return target
+}
+
 func (l *ledger) account(customer lagoonbarrow.CustomerID) *account {
 	present := l.accounts[customer]
 	if present == nil {
@@ -143,10 +167,13 @@
 	c.grants = valid
 }
 
-func (c *claim) keepOnly(held grantID) {
+// keepOnly drops the grants that the holder does not use, and the part of the
+// one in use that it gave up.
+func (c *claim) keepOnly(held grantID, using lagoonbarrow.WorkUnits) {
 	kept := c.grants[:0]
 	for _, present := range c.grants {
 		if present.id == held {
+			present.share = min(present.share, using)
 			kept = append(kept, present)
 		}
 	}
@@ -172,11 +199,10 @@
 
 // target returns the share for a demand. More important demand is served
 // first, so that a node with critical work is not held short by browsing on
-// other nodes; within a level the rate is split in proportion. A quarter of what
-// nobody asked for is handed out as room for growth. The rest is kept for nodes
-// that report next: with a half, the fourth of four nodes with a tenth of the
-// rate each was refused requests for 2 s, until the others gave shares back.
-func (a *account) target(demand byLevel, rate lagoonbarrow.WorkUnits) lagoonbarrow.WorkUnits {
+// other nodes; within a level the rate is split in proportion. Of what nobody
+// asked for, most is handed out as room for growth, half in equal parts and
+// half in proportion. A part is kept for nodes that report next.
+func (a *account) target(demand byLevel, rate lagoonbarrow.WorkUnits, established bool) lagoonbarrow.WorkUnits {
 	share := lagoonbarrow.WorkUnits(0)
 	left := rate
 	for index, total := range a.demand {
@@ -187,10 +213,15 @@
 		share += served * (demand[index] / total)
 		left -= served
 	}
-	if total := a.demand.sum(); total > 0 {
-		share += left / 4 * (demand.sum() / total)
+	total := a.demand.sum()
+	if total <= 0 {
+		return share
+	}
+	room := left * newcomerRoom
+	if established {
+		room = left * establishedRoom
 	}
-	return share
+	return share + room/2*(demand.sum()/total) + room/2/lagoonbarrow.WorkUnits(len(a.claims))
 }
 
 // clean drops customers without holders and returns the number left.
--- a/internal/process/quota/messages.go
+++ b/internal/process/quota/messages.go
@@ -41,6 +41,9 @@
 	// Held is the grant in use, or 0. All other grants to this process were
 	// lost or replaced, and no late answer can bring them into force.
 	Held grantID `msgpack:"held,omitempty"`
+	// Using is the part of the held share that this process keeps using; it gave
+	// up the rest before it sent the report.
+	Using lagoonbarrow.WorkUnits `msgpack:"using,omitempty"`
 }
 
 type answer struct {
@@ -121,7 +124,7 @@
 		return got, errors.Wrapf(lagoonbarrow.ErrInvalid, "quota: decode report: %v", err)
 	}
 	for _, entry := range got.Entries {
-		if !validDemand(entry.Demand) {
+		if !validDemand(entry.Demand) || !validUnits(entry.Using) {
 			return got, errors.Wrap(lagoonbarrow.ErrInvalid, "quota: decode report: demand is not a positive number")
 		}
 	}
--- a/internal/process/quota/quota.go
+++ b/internal/process/quota/quota.go
@@ -17,6 +17,9 @@
 	exceededInterval = 10 * time.Second
 	// reportWorkers is the number of owners that are sent reports at once.
 	reportWorkers = 8
+	// quarters is the number of times per report interval that a node looks for
+	// urgent reports.
+	quarters = 4
 	// reportQueue bounds the reports that wait for a worker.
 	reportQueue = 256
 )
@@ -129,18 +132,22 @@
 
 // isUrgent reports whether the customer's demand is to be reported before the
 // next tick: when it has no share and none was asked for in the last interval,
-// or when it was refused because its demand has grown.
+// when it was refused because its demand has grown, or when its demand is gone
+// and other nodes may need the share.
 func (q *Quota) isUrgent(present *bucket, now time.Time) bool {
 	since := now.Sub(present.demand.reported)
 	if !now.Before(present.held.until) {
 		return since >= q.config.ReportInterval
 	}
-	return since >= q.shortest() && present.demand.refused && present.demand.grown()
+	if since < q.shortest() {
+		return false
+	}
+	return present.demand.refused && present.demand.grown() || present.demand.fallen(now)
 }
 
 // shortest is the least time between two reports of a customer's demand.
 func (q *Quota) shortest() time.Duration {
-	return q.config.ReportInterval / 4
+	return q.config.ReportInterval / quarters
 }
 
 func (q *Quota) wake() {
--- a/internal/process/quota/report.go
+++ b/internal/process/quota/report.go
@@ -47,20 +47,31 @@
 
 func (q *Quota) run(ctx context.Context) {
 	defer q.done.Done()
-	ticker := time.NewTicker(q.config.ReportInterval)
+	ticker := time.NewTicker(q.shortest())
 	defer ticker.Stop()
-	for {
+	for count := 1; ; {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			q.tick(ctx)
+			q.step(ctx, count)
+			count++
 		case <-q.urgent:
 			q.reportUrgent(ctx)
 		}
 	}
 }
 
+// step is a tick at the end of each report interval, and looks for urgent
+// reports in between.
+func (q *Quota) step(ctx context.Context, count int) {
+	if count%quarters == 0 {
+		q.tick(ctx)
+		return
+	}
+	q.round(ctx, q.due(true))
+}
+
 // tick updates the members and reports the demand of all customers.
 func (q *Quota) tick(ctx context.Context) {
 	q.updateMembers()
@@ -98,13 +109,13 @@
 	defer q.mutex.Unlock()
 	var entries []reportEntry
 	for customer, present := range q.buckets {
-		if urgentOnly && !q.isUrgent(present, now) {
+		if now.Sub(present.used) > q.config.ShareLife {
 			continue
 		}
-		if now.Sub(present.used) > q.config.ShareLife {
+		if urgentOnly && !q.isUrgent(present, now) {
 			continue
 		}
-		present.demand.measure(now, 2*q.shortest())
+		present.demand.measure(now, q.shortest())
 		present.demand.reported = now
 		entries = append(entries, reportEntry{
 			Customer: customer,
@@ -154,20 +165,28 @@
 			open[owner.ID] = current
 			batches = append(batches, current)
 		}
-		entry.Held = q.heldGrant(now, entry.Customer)
+		q.release(now, &entry)
 		current.report.Entries = append(current.report.Entries, entry)
 	}
 	return batches
 }
 
-func (q *Quota) heldGrant(now time.Time, customer lagoonbarrow.CustomerID) grantID {
+// release gives up what the held share exceeds the demand by, and states what
+// remains. So the owner can hand it to other nodes at once, and not only when
+// it has heard that a smaller share arrived.
+func (q *Quota) release(now time.Time, entry *reportEntry) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	present := q.buckets[customer]
+	present := q.buckets[entry.Customer]
 	if present == nil || !now.Before(present.held.until) {
-		return 0
+		return
+	}
+	if record, found := q.config.Contracts.Lookup(entry.Customer); found && record.Contract != nil {
+		present.refill(now, q.limitsOf(record))
 	}
-	return present.held.grant
+	present.held.share = min(present.held.share, entry.Demand.sum())
+	entry.Held = present.held.grant
+	entry.Using = present.held.share
 }
 
 // exchange sends all batches and returns the entries of those that failed.
