--- a/internal/process/quota/fake_test.go
+++ b/internal/process/quota/fake_test.go
@@ -86,7 +86,7 @@
 	w.now = w.now.Add(time.Second)
 	for number, units := range demands {
 		if units > 0 {
-			w.node(number).Allow(w.contract, lagoonbarrow.WorkUnits(units))
+			w.node(number).AllowLevel(w.contract, lagoonbarrow.WorkUnits(units), lagoonbarrow.ImportanceNormal)
 		}
 	}
 	for number := range demands {
--- a/internal/process/quota/quota.go
+++ b/internal/process/quota/quota.go
@@ -80,11 +80,6 @@
 	q.pool.StopAndWait()
 }
 
-// Allow is AllowLevel for requests of normal importance.
-func (q *Quota) Allow(record lagoonbarrow.ContractRecord, units lagoonbarrow.WorkUnits) (bool, time.Duration) {
-	return q.AllowLevel(record, units, lagoonbarrow.ImportanceNormal)
-}
-
 // AllowLevel takes work units and reports whether they were available. If not,
 // the duration tells when to try again. A customer that is over its rate is
 // refused deferrable requests first and critical ones last. Its first request
--- a/internal/process/quota/quota_test.go
+++ b/internal/process/quota/quota_test.go
@@ -15,10 +15,10 @@
 // also when it costs more than the floor's capacity.
 func TestFirstRequestIsAdmitted(t *testing.T) {
 	w := newWorld(200)
-	if ok, _ := w.node(0).Allow(w.contract, 40); !ok {
+	if ok, _ := w.node(0).AllowLevel(w.contract, 40, lagoonbarrow.ImportanceNormal); !ok {
 		t.Fatal("the first request was refused")
 	}
-	ok, wait := w.node(0).Allow(w.contract, 40)
+	ok, wait := w.node(0).AllowLevel(w.contract, 40, lagoonbarrow.ImportanceNormal)
 	if ok || wait <= 0 {
 		t.Fatalf("the second request at once: admitted %v, wait %v", ok, wait)
 	}
@@ -31,7 +31,7 @@
 	if _, found := w.share(w.node(0)); !found {
 		t.Fatal("no share after the urgent report")
 	}
-	if _, shorter := w.node(0).Allow(w.contract, 40); shorter >= wait {
+	if _, shorter := w.node(0).AllowLevel(w.contract, 40, lagoonbarrow.ImportanceNormal); shorter >= wait {
 		t.Errorf("wait %v with a share, %v with the floor", shorter, wait)
 	}
 }
@@ -147,7 +147,7 @@
 		},
 	}
 	for _, record := range cases {
-		if ok, wait := w.node(0).Allow(record, 1); ok || wait != maxWait {
+		if ok, wait := w.node(0).AllowLevel(record, 1, lagoonbarrow.ImportanceNormal); ok || wait != maxWait {
 			t.Errorf("%s: admitted %v, wait %v", record.Customer, ok, wait)
 		}
 	}
@@ -157,7 +157,7 @@
 // new one forgives it.
 func TestIdleBucketsAreDropped(t *testing.T) {
 	w := newWorld(100)
-	w.node(0).Allow(w.contract, 40)
+	w.node(0).AllowLevel(w.contract, 40, lagoonbarrow.ImportanceNormal)
 	w.node(0).buckets["acme"].tokens = -1000
 	w.now = w.now.Add(2 * idleAfter)
 	w.node(0).dropIdle()
@@ -177,7 +177,7 @@
 	w := newWorld(1)
 	node := w.node(0)
 	node.Start()
-	node.Allow(w.contract, 1)
+	node.AllowLevel(w.contract, 1, lagoonbarrow.ImportanceNormal)
 	node.Stop()
 }
 
@@ -220,7 +220,7 @@
 		if sum := node.ledger.account("acme").outstanding; !(sum <= testRate*(1+1e-9)) {
 			t.Fatalf("granted %v", sum)
 		}
-		node.Allow(w.contract, 1)
+		node.AllowLevel(w.contract, 1, lagoonbarrow.ImportanceNormal)
 		for _, batch := range node.prepare(node.due(false)) {
 			if got, err := decodeAnswer(message); err == nil {
 				node.accept(batch, got)
@@ -255,7 +255,7 @@
 	w := newWorld(16)
 	b.RunParallel(func(parallel *testing.PB) {
 		for parallel.Next() {
-			w.node(0).Allow(w.contract, 1)
+			w.node(0).AllowLevel(w.contract, 1, lagoonbarrow.ImportanceNormal)
 		}
 	})
 }
