--- a/internal/connection/frame/frame_test.go
+++ b/internal/connection/frame/frame_test.go
@@ -10,10 +10,16 @@
 	"testing"
 
 	"github.com/pkg/errors"
+	"go.uber.org/goleak"
 
 	"lagoonbarrow"
 )
 
+// Guards against goroutines that reading or writing leaves behind.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
 type sample struct {
 	Name   string                     `msgpack:"name"`
 	Data   []byte                     `msgpack:"data,omitempty"`
--- a/internal/connection/peer/peer_test.go
+++ b/internal/connection/peer/peer_test.go
@@ -8,11 +8,17 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+	"go.uber.org/goleak"
 
 	"lagoonbarrow"
 	"lagoonbarrow/pkg/event"
 )
 
+// Guards against goroutines that outlive their connection, server or client.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
 var noScope = tally.NoopScope
 
 var testKey = []byte("0123456789abcdef0123456789abcdef")
--- a/internal/request/backend/run_test.go
+++ b/internal/request/backend/run_test.go
@@ -14,10 +14,16 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"go.uber.org/goleak"
 
 	"lagoonbarrow"
 )
 
+// Guards against goroutines that outlive their call.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
 // rawServer is a backend server that a test scripts byte by byte.
 type rawServer struct {
 	listener    net.Listener
--- a/internal/standin/backend/server_test.go
+++ b/internal/standin/backend/server_test.go
@@ -10,9 +10,16 @@
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
+
 	"lagoonbarrow"
 )
 
+// Guards against servers that leave goroutines behind, since tests run many in one process.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
 // start runs a server for one test and returns its base URL.
 func start(t *testing.T, config Config) (*Server, string) {
 	t.Helper()
