Wait for a latency baseline in the cold start

Cause: a gate that was busy from its start took its first baseline at all slots, where a backend server that is slower under more calls already shows its inflated latency, and lowered limits were judged after a fall to 0.7 only. Change: the cold start grows after the first verdict or ten windows with answers; latencies count 200 ms (and four mean times) after the start instead of 2 s; a lowered limit is judged at 0.8, and must lower latency by nearly its own part.

--- a/internal/process/admission/limiter.go
+++ b/internal/process/admission/limiter.go
@@ -11,6 +11,10 @@
 	// coldStartWindows is the number of windows with answers after which the cold start
 	// ends although the limit was not reached.
 	coldStartWindows = 50
+	// coldStartPatience is the number of windows with answers for which the cold
+	// start waits for a first baseline. A baseline taken at all slots would hide
+	// that the backend server is slower there than at a quarter.
+	coldStartPatience = 10
 	// minLimit is the least limit, unless there are fewer slots.
 	minLimit = 2
 	// growthPart: the limit grows by 1/growthPart in each window, so that it is back from
@@ -24,10 +28,10 @@
 	inflatedShare = 0.75
 	// trialFactor: when the limit has fallen to this part of its height, the latency must have
 	// followed it.
-	trialFactor = 0.7
+	trialFactor = 0.8
 	// trialFall is the least fall of the latency's logarithm in such a trial. Latency that
-	// is caused by concurrency falls by 0.36 (the logarithm of 1/0.7).
-	trialFall = 0.12
+	// is proportional to concurrency falls by 0.22 (the logarithm of 1/0.8), and throughput stays.
+	trialFall = 0.16
 )
 
 // The reasons for the present limit in Status.
@@ -134,19 +138,20 @@
 	case l.served == 0 && running > 0:
 		l.reason = reasonNoAnswers
 	default:
-		l.grow()
+		l.grow(found)
 	}
 	l.peak = running
 	l.served = 0
 }
 
-func (l *limiter) grow() {
+func (l *limiter) grow(found evidence) {
 	l.trialLimit = 0
 	if l.served > 0 && !l.warm {
 		l.answered++
 		l.warm = l.answered >= coldStartWindows
 	}
-	if !l.warm && l.peak < l.limit {
+	awaitsBaseline := found.healthy == 0 && l.answered < coldStartPatience
+	if !l.warm && (l.peak < l.limit || awaitsBaseline) {
 		return
 	}
 	l.limit = min(l.limit+max(1, l.limit/growthPart), l.slots)
--- a/internal/process/admission/operations.go
+++ b/internal/process/admission/operations.go
@@ -37,10 +37,11 @@
 	// typicalWeight is the weight of one call in an operation's typical time.
 	typicalWeight = 1.0 / 16
 	// settleTime and settleMeans: latencies are compared only after an operation has run
-	// for this time and this many of its means without a pause of settleTime. Before,
+	// for this time and this many of its means without a pause of pauseTime. Before,
 	// the calls that have ended are mostly the fast ones, and the baseline would be too low.
-	settleTime  = 2 * time.Second
+	settleTime  = 200 * time.Millisecond
 	settleMeans = 4
+	pauseTime   = 2 * time.Second
 	// typicalHalfLife halves the expected time of an operation that has not run,
 	// so that a slow period can't keep all its queued calls from running.
 	typicalHalfLife = time.Second
@@ -83,7 +84,7 @@
 	if shortMedian > 0 {
 		clipped = min(seconds, clipFactor*shortMedian)
 	}
-	if now.Sub(o.lastSample) > settleTime {
+	if now.Sub(o.lastSample) > pauseTime {
 		o.activeSince = now
 	}
 	o.samples++
