Let an accepted change be read at once instead of at the next poll

A change waited up to a second until a reader polled the head row, although the node that accepted it knows of it. Store.Accepted and Distributor.Refresh, once wired together by the node, make that node read the change rows and push them.

--- a/internal/version/contract/distributor.go
+++ b/internal/version/contract/distributor.go
@@ -74,6 +74,8 @@
 	wanted    pullTarget
 	// pulling tells the pull loop of a target.
 	pulling chan struct{}
+	// refreshing tells the pull loop to read the head row.
+	refreshing chan struct{}
 	// loading lets one load from the platform run at a time.
 	loading sync.Mutex
 	cancel  context.CancelFunc
@@ -101,7 +103,8 @@
 		pool: pond.NewPool(pushWorkers,
 			pond.WithQueueSize(pushQueue),
 			pond.WithNonBlocking(true)),
-		pulling: make(chan struct{}, 1),
+		pulling:    make(chan struct{}, 1),
+		refreshing: make(chan struct{}, 1),
 	}
 	distributor.submit = distributor.trySubmit
 	return distributor
@@ -131,6 +134,15 @@
 	go d.runPulls(ctx)
 }
 
+// Refresh reads the head row soon, on top of the polls by readers. It does not
+// wait.
+func (d *Distributor) Refresh() {
+	select {
+	case d.refreshing <- struct{}{}:
+	default:
+	}
+}
+
 // Stop ends all activity and waits for it.
 func (d *Distributor) Stop() {
 	if d.cancel != nil {
--- a/internal/version/contract/distributor_test.go
+++ b/internal/version/contract/distributor_test.go
@@ -52,6 +52,32 @@
 	}
 }
 
+// Guards against an accepted change that waits for a reader's next poll, and
+// against the push of a node that is no reader being lost.
+func TestRefreshBringsChangeIntoForce(t *testing.T) {
+	f := newFleet(t, newFakeTable(), 3)
+	f.tickAll()
+	announced := 0
+	store := NewStore(StoreConfig{
+		Table:    f.table,
+		Accepted: func() { announced++ },
+	})
+	record, err := store.Apply(context.Background(), testContract("acme", testHash(1)), 0)
+	if err != nil || announced != 1 {
+		t.Fatalf("announced %d times, %v", announced, err)
+	}
+	if _, err := store.Apply(context.Background(), testContract("acme", testHash(1)), 0); err == nil || announced != 1 {
+		t.Fatalf("announced %d times, %v", announced, err)
+	}
+	f.node(0).Refresh()
+	f.node(0).Refresh()
+	<-f.node(0).refreshing
+	f.node(0).refresh(context.Background())
+	if behind := f.behind(record.Revision); behind > 0 {
+		t.Errorf("%d nodes are behind", behind)
+	}
+}
+
 // Guards against a restarted node that serves an older version than before,
 // because it believes a peer that was frozen in the past.
 func TestRestartedNodeIgnoresFrozenPeer(t *testing.T) {
--- a/internal/version/contract/pull.go
+++ b/internal/version/contract/pull.go
@@ -49,10 +49,18 @@
 			return
 		case <-d.pulling:
 			d.pullWanted(ctx)
+		case <-d.refreshing:
+			d.refresh(ctx)
 		}
 	}
 }
 
+func (d *Distributor) refresh(ctx context.Context) {
+	if d.config.Registry.Ready() {
+		d.poll(ctx)
+	}
+}
+
 func (d *Distributor) pullWanted(ctx context.Context) {
 	target := d.takeWanted()
 	for d.config.Registry.Revision() < target.revision {
--- a/internal/version/contract/store.go
+++ b/internal/version/contract/store.go
@@ -23,6 +23,9 @@
 	Table lagoonbarrow.Table
 	// Recorder is told of accepted and refused changes; nil for none.
 	Recorder lagoonbarrow.Recorder
+	// Accepted is called after each accepted change; nil for none. With
+	// Distributor.Refresh, the change does not wait for a reader's next poll.
+	Accepted func()
 	// Pause waits between attempts; nil for a timer that the context ends.
 	Pause func(ctx context.Context, duration time.Duration)
 }
@@ -105,6 +108,7 @@
 		record, err := s.attempt(ctx, change)
 		if !errors.Is(err, errAgain) {
 			s.record(record, err)
+			s.announce(err)
 			return record, err
 		}
 		if ctx.Err() != nil {
@@ -115,6 +119,12 @@
 	}
 }
 
+func (s *Store) announce(err error) {
+	if err == nil && s.config.Accepted != nil {
+		s.config.Accepted()
+	}
+}
+
 func (s *Store) record(record lagoonbarrow.ContractRecord, err error) {
 	if s.config.Recorder == nil {
 		return
