--- a/internal/process/route/choose.go
+++ b/internal/process/route/choose.go
@@ -24,6 +24,9 @@
 
 const (
 	rankGood rank = iota
+	// rankRemote: ready, in another region. Without this rank, two random
+	// instances would often both be remote.
+	rankRemote
 	// rankOutlier: ready, with a latency far above the service's median.
 	rankOutlier
 	rankSuspect
@@ -92,13 +95,13 @@
 	best := rankSuspectFailed
 	for i := range r.candidates {
 		c := &r.candidates[i]
-		c.rank = rankOf(c, shared, now)
+		c.rank = r.rankOf(c, shared, now)
 		best = min(best, c.rank)
 	}
 	return best
 }
 
-func rankOf(c *candidate, shared *service, now time.Time) rank {
+func (r *Router) rankOf(c *candidate, shared *service, now time.Time) rank {
 	ready := readyOnly(c)
 	if c.entry.penalised(now) {
 		if ready {
@@ -112,6 +115,9 @@
 	if c.entry != nil {
 		c.entry.median = shared.median
 	}
+	if c.instance.Region != r.self.Region {
+		return rankRemote
+	}
 	if c.entry.present(now, shared.median) > outlierFactor*shared.median {
 		return rankOutlier
 	}
@@ -169,7 +175,7 @@
 	firstScore := score(first, shared, now)
 	secondScore := score(second, shared, now)
 	if math.Abs(firstScore-secondScore) <= tiePart*max(firstScore, secondScore) {
-		if r.nearness(second) > r.nearness(first) {
+		if r.near(second) && !r.near(first) {
 			return second
 		}
 		return first
@@ -194,13 +200,7 @@
 	return float64(waiting+1) * latency
 }
 
-// nearness is 2 in the same availability zone, 1 in the same region, 0 elsewhere.
-func (r *Router) nearness(c *candidate) int {
-	if c.instance.Region != r.self.Region {
-		return 0
-	}
-	if c.instance.Zone != r.self.Zone {
-		return 1
-	}
-	return 2
+// near reports whether an instance is in this node's availability zone.
+func (r *Router) near(c *candidate) bool {
+	return c.instance.Region == r.self.Region && c.instance.Zone == r.self.Zone
 }
--- a/internal/process/route/router.go
+++ b/internal/process/route/router.go
@@ -51,7 +51,8 @@
 // rendezvous owner among the ready instances the first choice, unless it failed
 // just now. It returns ErrNoInstance when avoid holds all instances.
 //
-// Ready instances come before suspect ones, and those that failed just now come last.
+// Ready instances of this node's region come first, then those of other regions,
+// stragglers, suspect instances, and those that failed just now.
 func (r *Router) Pick(name lagoonbarrow.ServiceName, key string, avoid []lagoonbarrow.InstanceID) (lagoonbarrow.Instance, error) {
 	instances := r.config.Roster.Instances(name)
 	r.mu.Lock()
