Let late critical work exceed the share of long work

Cause: a property test over random surges, slowdowns and freezes found critical calls that had been measured as long work waiting for the long lane's share, and then shed, while lower work got slots in the short lane. A young head of the queue also kept older critical calls from their slots.

--- a/internal/process/admission/control.go
+++ b/internal/process/admission/control.go
@@ -66,7 +66,7 @@
 			queue:     &l.queue,
 			potential: g.potential(l),
 			hold:      l.hold,
-			lowerBusy: g.lowerBusy(),
+			lowerBusy: g.lowerBusy(now),
 		})
 		g.shedBelow(l)
 		g.recordThreshold(l, before)
@@ -136,8 +136,8 @@
 }
 
 func (g *Gate) preemptForLane(l *lane, now time.Time, pending *int) {
-	waiting := l.queue.byLevel[lagoonbarrow.ImportanceCritical]
-	if waiting == 0 {
+	l.criticalLate = false
+	if l.queue.byLevel[lagoonbarrow.ImportanceCritical] == 0 {
 		return
 	}
 	position := 0
@@ -151,23 +151,25 @@
 		if waited+ahead <= g.config.TargetQueueDelay {
 			return
 		}
-		if *pending > 0 {
-			*pending--
-			return
-		}
 		highest := lagoonbarrow.ImportanceDeferrable
 		if waited > g.config.TargetQueueDelay {
+			l.criticalLate = true
 			highest = lagoonbarrow.ImportanceNormal
 		}
-		g.preempt(g.victim(l, highest), now)
+		if *pending > 0 {
+			*pending--
+			return
+		}
+		g.preempt(g.victim(w, highest), now)
 	})
 }
 
-// victim chooses the running call whose slot a critical call of the lane could
-// take: one of the lane itself if the lane is full, otherwise one of either lane.
-func (g *Gate) victim(l *lane, highest lagoonbarrow.Importance) *permit {
+// victim chooses the running call whose slot a critical call could take: one of its own
+// lane if it may not exceed the lane's limit, otherwise one of either lane.
+func (g *Gate) victim(w *waiter, highest lagoonbarrow.Importance) *permit {
+	l := w.lane
 	own := l.newestBelow(highest)
-	if l.running >= g.laneLimit(l) && l.long {
+	if l.running >= g.laneLimit(l) && l.long && !g.mayExceedShare(w) {
 		return own
 	}
 	other := &g.short
--- a/internal/process/admission/gate.go
+++ b/internal/process/admission/gate.go
@@ -49,9 +49,11 @@
 	sequence     uint64
 	operations   operations
 	lastCritical time.Time
-	windowStart  time.Time
-	counts       counts
-	recorded     recorded
+	// lastLower is the last time at which work below the critical level got a slot.
+	lastLower   time.Time
+	windowStart time.Time
+	counts      counts
+	recorded    recorded
 
 	stop    chan struct{}
 	stopper sync.Once
@@ -288,7 +290,10 @@
 }
 
 func (g *Gate) mayRun(w *waiter, now time.Time) bool {
-	if g.running >= g.limiter.limit || w.lane.running >= g.laneLimit(w.lane) {
+	if g.running >= g.limiter.limit {
+		return false
+	}
+	if w.lane.running >= g.laneLimit(w.lane) && !g.mayExceedShare(w) {
 		return false
 	}
 	if w.critical() {
@@ -298,10 +303,17 @@
 	return g.running-critical < g.limiter.limit-g.reserve(now)
 }
 
+// mayExceedShare reports whether a call may use more than the share of long
+// work: critical work, while some of it waits longer than the target delay or fills a
+// queue. It must not be refused while less important short work is admitted.
+func (g *Gate) mayExceedShare(w *waiter) bool {
+	crowded := w.lane.queue.length >= queueFactor*g.laneLimit(w.lane)
+	return w.critical() && (crowded || w.lane.criticalLate)
+}
+
 // enqueue queues a call. When the queue is full, the call that would be served last
 // makes room if it is less important; otherwise enqueue reports false. Critical long work may
-// fill a queue of the short lane's length, so that it is not refused
-// while less important short work is admitted.
+// fill a queue of the short lane's length.
 func (g *Gate) enqueue(w *waiter) bool {
 	queue := &w.lane.queue
 	bound := queueFactor * g.laneLimit(w.lane)
@@ -333,6 +345,9 @@
 		cancel:   w.cancel,
 	}
 	level := w.level()
+	if !w.critical() {
+		g.lastLower = now
+	}
 	g.running++
 	g.runningBy[level]++
 	w.lane.running++
@@ -436,14 +451,18 @@
 // threshold is the lowest priority that a lane admits. Between two windows, work
 // below the critical level may have come to the other lane; then no critical call is refused.
 func (g *Gate) threshold(l *lane) lagoonbarrow.Threshold {
-	if l.control.threshold > lagoonbarrow.CriticalThreshold && g.lowerBusy() {
+	if l.control.threshold > lagoonbarrow.CriticalThreshold && g.lowerBusy(g.config.Clock.Now()) {
 		return lagoonbarrow.CriticalThreshold
 	}
 	return l.control.threshold
 }
 
-// lowerBusy reports whether work below the critical level is running or queued.
-func (g *Gate) lowerBusy() bool {
+// lowerBusy reports whether work below the critical level is running or queued,
+// or was admitted in the last window.
+func (g *Gate) lowerBusy(now time.Time) bool {
+	if now.Sub(g.lastLower) < g.config.Window {
+		return true
+	}
 	lower := g.running - g.runningBy[lagoonbarrow.ImportanceCritical]
 	return lower+g.short.queue.lower()+g.long.queue.lower() > 0
 }
--- a/internal/process/admission/lane.go
+++ b/internal/process/admission/lane.go
@@ -18,6 +18,8 @@
 	// runningBy lists the running calls of each importance that were not preempted.
 	runningBy [levels]permitList
 	control   thresholdControl
+	// criticalLate is set while a critical call waits longer than the target delay.
+	criticalLate bool
 	// hold is the mean time that calls held a slot.
 	hold      time.Duration
 	holdKnown bool
