--- /dev/null
+++ b/internal/bench/control.go
@@ -0,0 +1,291 @@
+package bench
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"lagoonbarrow"
+	"lagoonbarrow/internal/standin/fleet"
+)
+
+const (
+	// changeLimit is the users' bound from acceptance to in force everywhere.
+	changeLimit = 7 * time.Second
+	changes     = 30
+	// settleTime passes before an idle fleet's cost is measured, so that joins
+	// and the first digest exchanges are over.
+	settleTime = 15 * time.Second
+	// costSpan is the time over which an idle fleet's cost is measured.
+	costSpan = 20 * time.Second
+	// clockTicks is the unit of CPU time in /proc, 1/100 s on Linux.
+	clockTicks = 100
+)
+
+// contractChange measures the time to all nodes while nodes are killed and frozen.
+func contractChange(r *runner) []Row {
+	services := chainOf(4)
+	var slowest, total time.Duration
+	r.measureFleet(false, services, func(f *fleet.Fleet) {
+		record := f.Nodes[0].InForce("residents")
+		for round := range changes {
+			victim := f.Nodes[1+round%(len(f.Nodes)-1)]
+			if round%3 == 0 {
+				victim.Kill()
+			} else {
+				victim.Freeze()
+			}
+			contract := fleet.ContractFor("residents", fleet.APIKey)
+			contract.BurstWorkUnits = lagoonbarrow.WorkUnits(1000 + round)
+			answer := f.Nodes[0].PutContract(contract, record.Version)
+			if answer.Err != nil || answer.Status >= 300 {
+				r.Fatalf("change not accepted: %v %d %s", answer.Err, answer.Status, answer.Body)
+			}
+			accepted := time.Now()
+			record.Version++
+			for _, node := range f.Nodes {
+				if node == victim {
+					continue
+				}
+				f.Await(node.Name+" has the change in force", changeLimit, func() bool {
+					return node.InForce("residents").Version >= record.Version
+				})
+			}
+			took := time.Since(accepted)
+			slowest = max(slowest, took)
+			total += took
+			if round%3 == 0 {
+				victim.Start()
+			} else {
+				victim.Thaw()
+			}
+		}
+	})
+	return []Row{
+		{
+			Measure:  "contract change in force on all live nodes, 16 nodes, kills and freezes going on",
+			Baseline: "each of 7,800 nodes polling within 2,000 reads/s: 3.9 s for one round, by calculation",
+			Ours:     fmt.Sprintf("mean %s, slowest of %d %s", milliseconds(total/changes), changes, milliseconds(slowest)),
+			Target:   "<= 7 s",
+			Met:      slowest <= changeLimit,
+		},
+	}
+}
+
+// cost is what one fleet size costs per node.
+type cost struct {
+	nodes          int
+	cpuPercent     float64
+	residentMiB    float64
+	bytesPerSecond float64
+	readsPerSecond float64
+	writesPerNode  float64
+	changeTime     time.Duration
+	leaveTime      time.Duration
+	failureTime    time.Duration
+}
+
+// controlCost measures idle fleets of rising size.
+func controlCost(r *runner) []Row {
+	var costs []cost
+	for _, size := range []int{25, 50, 100, 200} {
+		current := r.fleetCost(size)
+		costs = append(costs, current)
+		r.Logf(
+			"%d nodes: %.2f %% of a core, %.1f MiB, %.0f control bytes/s a node; platform %.1f reads/s in all, %.1f writes a start; change %s, leave %s, a fifth killed %s",
+			current.nodes, current.cpuPercent, current.residentMiB, current.bytesPerSecond, current.readsPerSecond, current.writesPerNode,
+			current.changeTime.Round(time.Millisecond), current.leaveTime.Round(time.Millisecond), current.failureTime.Round(time.Millisecond),
+		)
+	}
+	r.costSeries(costs)
+	last := costs[len(costs)-1]
+	return []Row{
+		{
+			Measure:  "control cost of a node in a fleet of 200 (CAPACITY.md has the slopes)",
+			Baseline: "fleet of 25: " + costs[0].text(),
+			Ours:     last.text(),
+			Target:   "1.9 % of a core, 32 MB, 3 KB/s",
+			Met:      last.cpuPercent <= 1.9 && last.residentMiB*1.048576 <= 32 && last.bytesPerSecond <= 3000,
+		},
+	}
+}
+
+func (c cost) text() string {
+	return fmt.Sprintf("%.2f %% of a core, %.1f MiB, %.0f B/s", c.cpuPercent, c.residentMiB, c.bytesPerSecond)
+}
+
+func (r *runner) fleetCost(size int) cost {
+	services := make([]fleet.Service, size/5)
+	for position := range services {
+		services[position] = fleet.Service{
+			Name:        fmt.Sprintf("service%d", position),
+			Instances:   5,
+			Slots:       20,
+			ServiceTime: time.Millisecond,
+		}
+	}
+	f := fleet.Start(r, r.config.Binary, "[log]\nlevel = warn\n[control]\nprobe-interval = 1s\n", services...)
+	f.Apply(fleet.ContractFor("residents", fleet.APIKey))
+	writes := f.Platform.Stats().Writes
+	time.Sleep(settleTime)
+	result := idleCost(r, f)
+	result.writesPerNode = float64(writes) / float64(size)
+	result.changeTime = timeOfChange(r, f)
+	result.leaveTime = timeOfLeave(f)
+	result.failureTime = timeOfFailures(f)
+	r.end()
+	return result
+}
+
+// idleCost measures a fleet without customers' work.
+func idleCost(r *runner, f *fleet.Fleet) cost {
+	before := totals(r, f)
+	reads := f.Platform.Stats().Reads
+	time.Sleep(costSpan)
+	after := totals(r, f)
+	nodes := float64(len(f.Nodes))
+	seconds := costSpan.Seconds()
+	return cost{
+		nodes:          len(f.Nodes),
+		cpuPercent:     100 * (after.cpu - before.cpu).Seconds() / seconds / nodes,
+		residentMiB:    after.resident / nodes / (1 << 20),
+		bytesPerSecond: (after.bytes - before.bytes) / seconds / nodes,
+		readsPerSecond: float64(f.Platform.Stats().Reads-reads) / seconds,
+	}
+}
+
+// total is what all nodes together used so far.
+type total struct {
+	cpu      time.Duration
+	resident float64
+	bytes    float64
+}
+
+func totals(r *runner, f *fleet.Fleet) total {
+	var sum total
+	for _, node := range f.Nodes {
+		cpu, resident := processUse(r, node.PID())
+		sum.cpu += cpu
+		sum.resident += resident
+		sum.bytes += controlBytes(node)
+	}
+	return sum
+}
+
+// processUse reads CPU time and resident memory from /proc.
+func processUse(r *runner, pid int) (time.Duration, float64) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		r.Fatal(err)
+	}
+	// The process's name in parentheses may hold spaces; fields count from there.
+	_, rest, _ := strings.Cut(string(text), ") ")
+	fields := strings.Fields(rest)
+	const userTime, systemTime, residentPages = 11, 12, 21
+	user, _ := strconv.ParseInt(fields[userTime], 10, 64)
+	system, _ := strconv.ParseInt(fields[systemTime], 10, 64)
+	pages, _ := strconv.ParseFloat(fields[residentPages], 64)
+	return time.Duration(user+system) * time.Second / clockTicks, pages * float64(os.Getpagesize())
+}
+
+// controlBytes sums the control bytes that a node sent and received.
+func controlBytes(node *fleet.Node) float64 {
+	answer := node.Administer("GET", "/metrics", nil, nil)
+	sum := 0.0
+	for _, line := range strings.Split(string(answer.Body), "\n") {
+		if !strings.HasPrefix(line, "lagoonbarrow_") || !strings.Contains(line, "control_bytes") {
+			continue
+		}
+		fields := strings.Fields(line)
+		value, _ := strconv.ParseFloat(fields[len(fields)-1], 64)
+		sum += value
+	}
+	return sum
+}
+
+// timeOfChange measures a contract change until it is in force on every node.
+func timeOfChange(r *runner, f *fleet.Fleet) time.Duration {
+	contract := fleet.ContractFor("residents", fleet.APIKey)
+	contract.BurstWorkUnits = 5
+	present := f.Nodes[0].InForce("residents")
+	answer := f.Nodes[0].PutContract(contract, present.Version)
+	if answer.Err != nil || answer.Status >= 300 {
+		r.Fatalf("change not accepted: %v %d %s", answer.Err, answer.Status, answer.Body)
+	}
+	began := time.Now()
+	eachNode(f.Nodes, func(node *fleet.Node) {
+		for node.InForce("residents").Version <= present.Version && time.Since(began) < fleet.StartTimeout {
+			time.Sleep(20 * time.Millisecond)
+		}
+	})
+	return time.Since(began)
+}
+
+// timeOfLeave measures a graceful leave until no node lists the instance as ready.
+func timeOfLeave(f *fleet.Fleet) time.Duration {
+	leaving := f.Nodes[len(f.Nodes)-1]
+	rest := f.Nodes[:len(f.Nodes)-1]
+	began := time.Now()
+	go leaving.Stop(fleet.StartTimeout)
+	awaitReadyMembers(rest, len(rest), began)
+	return time.Since(began)
+}
+
+// timeOfFailures kills a fifth of the nodes at once and measures until no
+// other node lists them as ready.
+func timeOfFailures(f *fleet.Fleet) time.Duration {
+	rest := f.Nodes[:len(f.Nodes)-1]
+	killed := rest[:len(rest)/5]
+	rest = rest[len(rest)/5:]
+	began := time.Now()
+	for _, node := range killed {
+		node.Kill()
+	}
+	awaitReadyMembers(rest, len(rest), began)
+	return time.Since(began)
+}
+
+func awaitReadyMembers(nodes []*fleet.Node, count int, began time.Time) {
+	eachNode(nodes, func(node *fleet.Node) {
+		for node.ReadyMembers() != count && time.Since(began) < fleet.StartTimeout {
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+}
+
+// eachNode runs a task for every node, as many at once as there are cores.
+func eachNode(nodes []*fleet.Node, task func(node *fleet.Node)) {
+	slots := make(chan struct{}, 2*runtime.NumCPU())
+	var pending sync.WaitGroup
+	for _, node := range nodes {
+		pending.Add(1)
+		slots <- struct{}{}
+		go func() {
+			defer pending.Done()
+			task(node)
+			<-slots
+		}()
+	}
+	pending.Wait()
+}
+
+func (r *runner) costSeries(costs []cost) {
+	var text strings.Builder
+	text.WriteString("nodes,cpu-percent,resident-mib,control-bytes-per-second,platform-reads-per-second,writes-per-start,change-ms,leave-ms,fifth-killed-ms\n")
+	for _, current := range costs {
+		fmt.Fprintf(
+			&text, "%d,%.3f,%.2f,%.1f,%.2f,%.2f,%d,%d,%d\n",
+			current.nodes, current.cpuPercent, current.residentMiB, current.bytesPerSecond, current.readsPerSecond, current.writesPerNode,
+			current.changeTime.Milliseconds(), current.leaveTime.Milliseconds(), current.failureTime.Milliseconds(),
+		)
+	}
+	path := filepath.Join(r.config.Folder, r.name+".csv")
+	if err := os.WriteFile(path, []byte(text.String()), 0o644); err != nil {
+		r.Fatal(err)
+	}
+}
--- /dev/null
+++ b/internal/bench/plot.go
@@ -0,0 +1,38 @@
+package bench
+
+import (
+	"path/filepath"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// plotGoodput draws goodput over the time of arrival.
+func (r *runner) plotGoodput(variant string, samples []sample, duration time.Duration) {
+	var points plotter.XYs
+	for from := time.Duration(0); from+recoveryWindow <= duration; from += recoveryWindow {
+		points = append(points, plotter.XY{
+			X: from.Seconds(),
+			Y: goodput(samples, from, from+recoveryWindow),
+		})
+	}
+	r.plot(variant, "time of arrival, s", "whole answers in time, 1/s", points)
+}
+
+func (r *runner) plot(variant, across, up string, points plotter.XYs) {
+	picture := plot.New()
+	picture.Title.Text = r.name + ", " + variant
+	picture.X.Label.Text = across
+	picture.Y.Label.Text = up
+	picture.Y.Min = 0
+	if err := plotutil.AddLinePoints(picture, variant, points); err != nil {
+		r.Fatal(err)
+	}
+	path := filepath.Join(r.config.Folder, r.name+"-"+variant+".png")
+	if err := picture.Save(20*vg.Centimeter, 10*vg.Centimeter, path); err != nil {
+		r.Fatal(err)
+	}
+}
--- /dev/null
+++ b/internal/bench/policy.go
@@ -0,0 +1,468 @@
+package bench
+
+import (
+	"fmt"
+	"time"
+
+	"lagoonbarrow"
+	"lagoonbarrow/internal/standin/backend"
+	"lagoonbarrow/internal/standin/fleet"
+)
+
+var (
+	lookups = []kind{
+		{
+			name:   "lookup",
+			weight: 1,
+			method: "GET",
+		},
+	}
+	mixed = []kind{
+		{
+			name:   "filing",
+			weight: 1,
+			method: "POST",
+			key:    true,
+		},
+		{
+			name:   "lookup",
+			weight: 3,
+			method: "GET",
+		},
+		{
+			name:   "browse",
+			weight: 6,
+			method: "GET",
+		},
+	}
+)
+
+// warmUp is the time before a measurement in which limits grow from their cold
+// start.
+const warmUp = 4 * time.Second
+
+// chainOf returns services that call each other in a row. The last one has the
+// registry's part: fewer slots than the others.
+func chainOf(depth int) []fleet.Service {
+	services := make([]fleet.Service, depth)
+	for position := range services {
+		services[position] = fleet.Service{
+			Name:        fmt.Sprintf("hop%d", position+1),
+			Instances:   4,
+			Slots:       70,
+			ServiceTime: 2 * time.Millisecond,
+		}
+		if position+1 < depth {
+			services[position].Downstream = []lagoonbarrow.ServiceName{
+				lagoonbarrow.ServiceName(fmt.Sprintf("hop%d", position+2)),
+			}
+		}
+	}
+	last := &services[depth-1]
+	last.Slots = registrySlots
+	last.ServiceTime = registryTime
+	return services
+}
+
+const (
+	registrySlots = 4
+	registryTime  = 40 * time.Millisecond
+	// registryCapacity is calls a second of four registries.
+	registryCapacity = 4 * registrySlots * float64(time.Second) / float64(registryTime)
+)
+
+// variants are measured in the same run.
+var variants = []struct {
+	name  string
+	plain bool
+}{
+	{
+		name:  "baseline",
+		plain: true,
+	},
+	{
+		name: "ours",
+	},
+}
+
+// goodputAtOverload measures a chain of four at twice the capacity with callers
+// that retry hard.
+func goodputAtOverload(r *runner) []Row {
+	results := map[string]float64{}
+	for _, variant := range variants {
+		r.measureFleet(variant.plain, chainOf(4), func(f *fleet.Fleet) {
+			duration := warmUp + 10*time.Second
+			samples := load{
+				phases: []phase{
+					{
+						duration:  duration,
+						perSecond: 2 * registryCapacity,
+					},
+				},
+				kinds:   lookups,
+				resends: 3,
+				late:    time.Second,
+				seed:    r.config.Seed,
+			}.run(f)
+			r.series(variant.name, samples)
+			r.plotGoodput(variant.name, samples, duration)
+			results[variant.name] = goodput(samples, warmUp, duration) / registryCapacity
+		})
+	}
+	return []Row{
+		{
+			Measure:  "goodput of whole requests at 2x capacity, chain of 4",
+			Baseline: fmt.Sprintf("%.0f %%", 100*results["baseline"]),
+			Ours:     fmt.Sprintf("%.0f %%", 100*results["ours"]),
+			Target:   ">= 90 % of capacity",
+			Met:      results["ours"] >= 0.9,
+		},
+	}
+}
+
+// The recovery measure's phases.
+const (
+	beforeSurge = warmUp + 4*time.Second
+	surge       = 10 * time.Second
+	afterSurge  = 15 * time.Second
+	// recoveryWindow is the span over which goodput is compared.
+	recoveryWindow = 500 * time.Millisecond
+)
+
+// recovery measures the time from the end of a surge until goodput is back.
+func recovery(r *runner) []Row {
+	results := map[string]time.Duration{}
+	for _, variant := range variants {
+		r.measureFleet(variant.plain, chainOf(4), func(f *fleet.Fleet) {
+			samples := load{
+				phases: []phase{
+					{
+						duration:  beforeSurge,
+						perSecond: 0.6 * registryCapacity,
+					},
+					{
+						duration:  surge,
+						perSecond: 3 * registryCapacity,
+					},
+					{
+						duration:  afterSurge,
+						perSecond: 0.6 * registryCapacity,
+					},
+				},
+				kinds:   lookups,
+				resends: 3,
+				late:    time.Second,
+				seed:    r.config.Seed,
+			}.run(f)
+			r.series(variant.name, samples)
+			r.plotGoodput(variant.name, samples, beforeSurge+surge+afterSurge)
+			results[variant.name] = recoveryTime(samples)
+		})
+	}
+	return []Row{
+		{
+			Measure:  "time to recover after a 10 s surge to 3x capacity",
+			Baseline: results["baseline"].String(),
+			Ours:     results["ours"].String(),
+			Target:   "<= 2 s to 95 % of normal goodput",
+			Met:      results["ours"] <= 2*time.Second,
+		},
+	}
+}
+
+// recoveryTime is the time after the surge from which the part of requests that
+// succeed stays at 95 % of what it was before.
+func recoveryTime(samples []sample) time.Duration {
+	normal := success(of(samples, "", warmUp, beforeSurge))
+	surgeEnd := beforeSurge + surge
+	recovered := time.Duration(0)
+	for from := time.Duration(0); from+recoveryWindow <= afterSurge; from += recoveryWindow {
+		window := of(samples, "", surgeEnd+from, surgeEnd+from+recoveryWindow)
+		if success(window) < 0.95*normal {
+			recovered = from + recoveryWindow
+		}
+	}
+	return recovered
+}
+
+// headOfLine measures short work with and without long work beside it.
+func headOfLine(r *runner) []Row {
+	results := map[string]time.Duration{}
+	for _, variant := range variants {
+		for _, long := range []bool{false, true} {
+			name := variant.name + "-short-only"
+			kinds := []kind{lookups[0]}
+			rate := 400.0
+			if long {
+				name = variant.name + "-beside-long"
+				kinds = []kind{
+					{
+						name:   "lookup",
+						weight: 10,
+						method: "GET",
+					},
+					{
+						name:   "archive",
+						weight: 2,
+						method: "GET",
+					},
+				}
+				rate = 480
+			}
+			r.measureFleet(variant.plain, longServices(), func(f *fleet.Fleet) {
+				duration := warmUp + 8*time.Second
+				samples := load{
+					phases: []phase{
+						{
+							duration:  duration,
+							perSecond: rate,
+						},
+					},
+					kinds: kinds,
+					seed:  r.config.Seed,
+				}.run(f)
+				r.series(name, samples)
+				short := of(samples, "lookup", warmUp, duration)
+				r.Logf("%s: short p99 %s, %.1f %% ok; long %.1f %% ok", name, percentile(short, 99), 100*success(short), 100*success(of(samples, "archive", warmUp, duration)))
+				results[name] = percentile(short, 99)
+			})
+		}
+	}
+	ratio := func(name string) float64 {
+		return float64(results[name+"-beside-long"]) / float64(results[name+"-short-only"])
+	}
+	return []Row{
+		{
+			Measure:  "p99 of short work beside long work, against its p99 without",
+			Baseline: fmt.Sprintf("%.2fx (%s)", ratio("baseline"), milliseconds(results["baseline-beside-long"])),
+			Ours:     fmt.Sprintf("%.2fx (%s)", ratio("ours"), milliseconds(results["ours-beside-long"])),
+			Target:   "<= 1.5x",
+			Met:      ratio("ours") <= 1.5,
+		},
+	}
+}
+
+// longServices have 4 x 10 slots; 80 long requests a second of 500 ms ask for
+// all 40 of them, beside short requests that ask for 8.
+func longServices() []fleet.Service {
+	return []fleet.Service{
+		{
+			Name:        "minutes",
+			Instances:   4,
+			Slots:       10,
+			ServiceTime: 20 * time.Millisecond,
+			LongTime:    500 * time.Millisecond,
+		},
+	}
+}
+
+// crest measures service while demand rises from a fifth of capacity to all of
+// it within a second.
+func crest(r *runner) []Row {
+	results := map[string]float64{}
+	tails := map[string]time.Duration{}
+	calm := warmUp + 2*time.Second
+	for _, variant := range variants {
+		r.measureFleet(variant.plain, chainOf(4), func(f *fleet.Fleet) {
+			samples := load{
+				phases: []phase{
+					{
+						duration:  calm,
+						perSecond: 0.2 * registryCapacity,
+					},
+					{
+						duration:  time.Second,
+						perSecond: 0.5 * registryCapacity,
+					},
+					{
+						duration:  5 * time.Second,
+						perSecond: 0.9 * registryCapacity,
+					},
+				},
+				kinds: mixed,
+				late:  time.Second,
+				seed:  r.config.Seed,
+			}.run(f)
+			r.series(variant.name, samples)
+			swing := of(samples, "", calm, calm+6*time.Second)
+			results[variant.name] = success(swing)
+			tails[variant.name] = percentile(swing, 99)
+		})
+	}
+	return []Row{
+		{
+			Measure:  "requests served in time at the crest of a swing from 20 % to 90 % of capacity",
+			Baseline: fmt.Sprintf("%.1f %%, p99 %s", 100*results["baseline"], milliseconds(tails["baseline"])),
+			Ours:     fmt.Sprintf("%.1f %%, p99 %s", 100*results["ours"], milliseconds(tails["ours"])),
+			Target:   "not below the baseline",
+			Met:      results["ours"] >= results["baseline"],
+		},
+	}
+}
+
+// straggler measures the tail while one of four backend servers is ten times slower.
+func straggler(r *runner) []Row {
+	results := map[string]time.Duration{}
+	for _, variant := range variants {
+		for _, slow := range []bool{false, true} {
+			name := fmt.Sprintf("%s-%t", variant.name, slow)
+			r.measureFleet(variant.plain, stragglerServices(), func(f *fleet.Fleet) {
+				duration := warmUp + 8*time.Second
+				if slow {
+					f.Of("registry")[1].Backend.Switch(func(s *backend.Switches) { s.Slow = 10 })
+				}
+				samples := load{
+					phases: []phase{
+						{
+							duration:  duration,
+							perSecond: 300,
+						},
+					},
+					kinds: lookups,
+					seed:  r.config.Seed,
+				}.run(f)
+				r.series(name, samples)
+				steady := of(samples, "", warmUp, duration)
+				r.Logf("%s: p99 %s, %.2f %% ok", name, percentile(steady, 99), 100*success(steady))
+				results[name] = percentile(steady, 99)
+			})
+		}
+	}
+	ratio := func(name string) float64 {
+		return float64(results[name+"-true"]) / float64(results[name+"-false"])
+	}
+	return []Row{
+		{
+			Measure:  "p99 with one straggler in four, against the p99 without",
+			Baseline: fmt.Sprintf("%.2fx (%s)", ratio("baseline"), milliseconds(results["baseline-true"])),
+			Ours:     fmt.Sprintf("%.2fx (%s)", ratio("ours"), milliseconds(results["ours-true"])),
+			Target:   "<= 1.5x",
+			Met:      ratio("ours") <= 1.5,
+		},
+	}
+}
+
+func stragglerServices() []fleet.Service {
+	return []fleet.Service{
+		{
+			Name:        "minutes",
+			Instances:   2,
+			Slots:       70,
+			ServiceTime: 2 * time.Millisecond,
+			Downstream:  []lagoonbarrow.ServiceName{"registry"},
+		},
+		{
+			Name:        "registry",
+			Instances:   4,
+			Slots:       15,
+			ServiceTime: 20 * time.Millisecond,
+		},
+	}
+}
+
+// filings counts filings that fail or are late at twice the capacity.
+func filings(r *runner) []Row {
+	counts := map[string]int{}
+	browsed := map[string]int{}
+	for _, variant := range variants {
+		r.measureFleet(variant.plain, chainOf(4), func(f *fleet.Fleet) {
+			duration := warmUp + 8*time.Second
+			samples := load{
+				phases: []phase{
+					{
+						duration:  duration,
+						perSecond: 2 * registryCapacity,
+					},
+				},
+				kinds: mixed,
+				late:  3 * time.Second,
+				seed:  r.config.Seed,
+			}.run(f)
+			r.series(variant.name, samples)
+			for _, current := range of(samples, "filing", 0, duration) {
+				if !current.ok {
+					counts[variant.name]++
+				}
+			}
+			for _, current := range of(samples, "browse", 0, duration) {
+				if current.ok {
+					browsed[variant.name]++
+				}
+			}
+			r.Logf("%s: %d filings, %d failed, %d browsing requests served", variant.name, len(of(samples, "filing", 0, duration)), counts[variant.name], browsed[variant.name])
+		})
+	}
+	return []Row{
+		{
+			Measure:  "filings refused or late at 2x overload while browsing was served",
+			Baseline: fmt.Sprint(counts["baseline"]),
+			Ours:     fmt.Sprint(counts["ours"]),
+			Target:   "0",
+			Met:      counts["ours"] == 0,
+		},
+	}
+}
+
+// attempts counts the runs of one request at the deepest service while it fails.
+func attempts(r *runner) []Row {
+	var rows []Row
+	for _, depth := range []int{4, 24} {
+		most := map[string]int{}
+		for _, variant := range variants {
+			services := chainOf(depth)
+			for position := range services {
+				services[position].Instances = 2
+				if depth > 4 {
+					services[position].Instances = 1
+				}
+			}
+			if variant.plain && depth > 4 {
+				// Four attempts at each of 24 hops would be 4^23 at the deepest.
+				continue
+			}
+			r.measureFleet(variant.plain, services, func(f *fleet.Fleet) {
+				deepest := f.Of(fmt.Sprintf("hop%d", depth))
+				for _, node := range deepest {
+					node.Backend.Switch(func(s *backend.Switches) { s.Plain503 = true })
+				}
+				load{
+					phases: []phase{
+						{
+							duration:  time.Second,
+							perSecond: 10,
+						},
+					},
+					kinds: lookups,
+					seed:  r.config.Seed,
+				}.run(f)
+				time.Sleep(4 * time.Second)
+				most[variant.name] = mostRuns(deepest)
+			})
+		}
+		baseline := fmt.Sprint(most["baseline"])
+		if depth > 4 {
+			baseline = "4^23 by calculation"
+		}
+		rows = append(rows, Row{
+			Measure:  fmt.Sprintf("attempts at the deepest service for one request, depth %d", depth),
+			Baseline: baseline,
+			Ours:     fmt.Sprint(most["ours"]),
+			Target:   "<= 1 + 3 tokens",
+			Met:      most["ours"] <= 4,
+		})
+	}
+	return rows
+}
+
+// mostRuns is the largest number of runs of one path over all nodes of a service.
+func mostRuns(nodes []*fleet.Node) int {
+	counts := map[string]int{}
+	most := 0
+	for _, node := range nodes {
+		for _, run := range node.Backend.Runs() {
+			counts[run.Path]++
+			most = max(most, counts[run.Path])
+		}
+	}
+	return most
+}
--- a/internal/standin/fleet/client.go
+++ b/internal/standin/fleet/client.go
@@ -13,7 +13,7 @@
 	"lagoonbarrow"
 )
 
-// response is what a caller heard.
+// Response is what a caller heard.
 type Response struct {
 	Status  int
 	Body    []byte
@@ -21,21 +21,22 @@
 	Reason  string
 	Request string
 	ETag    string
-	// err is set when no whole response arrived.
+	// Err is set when no whole response arrived.
 	Err error
 }
 
-// call is one request of a caller.
+// Call is one request of a caller.
 type Call struct {
 	Method string
 	Path   string
 	Key    string
-	// requestKey is the Lagoonbarrow-Request-Key header.
+	// RequestKey is the Lagoonbarrow-Request-Key header.
 	RequestKey string
 	Body       string
 	APIKey     string
 }
 
+// Do sends a customer's request to the node's entry listener.
 func (n *Node) Do(ctx context.Context, c Call) Response {
 	request, err := http.NewRequestWithContext(ctx, c.Method, "http://"+string(n.Entry)+c.Path, bytes.NewBufferString(c.Body))
 	if err != nil {
@@ -77,7 +78,7 @@
 	}
 }
 
-// administer sends a request to the node's administration API.
+// Administer sends a request to the node's administration API.
 func (n *Node) Administer(method, path string, body any, header http.Header) Response {
 	text, err := json.Marshal(body)
 	if err != nil {
@@ -98,7 +99,7 @@
 	return n.fleet.roundTrip(request)
 }
 
-// putContract changes a contract; version 0 creates it.
+// PutContract changes a contract; version 0 creates it.
 func (n *Node) PutContract(contract lagoonbarrow.Contract, version lagoonbarrow.ContractVersion) Response {
 	header := http.Header{}
 	if version == 0 {
@@ -109,7 +110,7 @@
 	return n.Administer(http.MethodPut, "/v1/contracts/"+string(contract.Customer), contract, header)
 }
 
-// await retries a condition until it holds, and fails the test after the limit.
+// Await retries a condition until it holds, and fails the test after the limit.
 func (f *Fleet) Await(what string, limit time.Duration, condition func() bool) {
 	f.TB.Helper()
 	end := time.Now().Add(limit)
@@ -121,7 +122,7 @@
 	}
 }
 
-// logs returns the last log lines of every node.
+// Logs returns the last log lines of every node.
 func (f *Fleet) Logs() string {
 	const tail = 600
 	text := ""
@@ -132,7 +133,7 @@
 	return text
 }
 
-// awaitMembers waits until every node is ready and lists so many ready instances.
+// AwaitMembers waits until every node is ready and lists so many ready instances.
 func (f *Fleet) AwaitMembers(count int) {
 	f.TB.Helper()
 	for _, node := range f.Nodes {
@@ -142,6 +143,7 @@
 	}
 }
 
+// ReadyMembers counts the ready instances that the node knows.
 func (n *Node) ReadyMembers() int {
 	answer := n.Administer(http.MethodGet, "/v1/members", nil, nil)
 	var members []struct {
@@ -159,7 +161,7 @@
 	return count
 }
 
-// apply puts a new contract in force on all nodes.
+// Apply puts a new contract in force on all nodes.
 func (f *Fleet) Apply(contract lagoonbarrow.Contract) lagoonbarrow.ContractRecord {
 	f.TB.Helper()
 	answer := f.Nodes[0].PutContract(contract, 0)
@@ -178,7 +180,7 @@
 	return record
 }
 
-// inForce returns the record that the node works by; version 0 without one.
+// InForce returns the record that the node works by; version 0 without one.
 func (n *Node) InForce(customer lagoonbarrow.CustomerID) lagoonbarrow.ContractRecord {
 	answer := n.Administer(http.MethodGet, "/v1/contracts/"+string(customer)+"?in-force=true", nil, nil)
 	var record lagoonbarrow.ContractRecord
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -49,7 +49,7 @@
 	Retries     int
 }
 
-// fleet is a platform, backend servers and nodes on loopback.
+// Fleet is a platform, backend servers and nodes on loopback.
 type Fleet struct {
 	TB       TB
 	binary   string
@@ -76,7 +76,7 @@
 		http: &http.Client{
 			Timeout: 30 * time.Second,
 			Transport: &http.Transport{
-				MaxIdleConnsPerHost: 64,
+				MaxIdleConnsPerHost: 512,
 			},
 		},
 	}
@@ -184,7 +184,7 @@
 	return addresses
 }
 
-// of returns the nodes of a service.
+// Of returns the nodes of a service.
 func (f *Fleet) Of(service string) []*Node {
 	var nodes []*Node
 	for _, node := range f.Nodes {
--- a/internal/standin/fleet/node.go
+++ b/internal/standin/fleet/node.go
@@ -88,13 +88,15 @@
 		"peer-key = " + peerKey,
 		"read-token = " + readToken,
 		"change-token = " + changeToken,
-		"[control]",
-		"probe-interval = 200ms",
+	}
+	if !strings.Contains(n.fleet.extra, "[control]") {
+		// Short, so that tests of failures don't wait for detection.
+		lines = append(lines, "[control]", "probe-interval = 200ms")
 	}
 	return strings.Join(lines, "\n") + "\n" + n.fleet.extra
 }
 
-// start starts the process; it may be called again after the process ended.
+// Start starts the process; it may be called again after the process ended.
 func (n *Node) Start() {
 	n.fleet.TB.Helper()
 	path := filepath.Join(n.fleet.folder, n.Name+".ini")
@@ -118,29 +120,30 @@
 	n.frozen = false
 }
 
+// Signal sends a signal to the process.
 func (n *Node) Signal(signal syscall.Signal) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	_ = n.cmd.Process.Signal(signal)
 }
 
-// kill ends the process at once, as a failed instance would.
+// Kill ends the process at once, as a failed instance would.
 func (n *Node) Kill() {
 	n.Signal(syscall.SIGKILL)
 	<-n.ended
 }
 
-// freeze pauses the process.
+// Freeze pauses the process.
 func (n *Node) Freeze() {
 	n.Signal(syscall.SIGSTOP)
 }
 
-// thaw lets a paused process go on.
+// Thaw lets a paused process go on.
 func (n *Node) Thaw() {
 	n.Signal(syscall.SIGCONT)
 }
 
-// stop asks for a graceful stop and reports whether it ended within the limit.
+// Stop asks for a graceful stop and reports whether it ended within the limit.
 func (n *Node) Stop(limit time.Duration) bool {
 	n.Signal(syscall.SIGTERM)
 	select {
@@ -151,6 +154,7 @@
 	}
 }
 
+// Ready reports whether /readyz says so.
 func (n *Node) Ready() bool {
 	response, err := n.fleet.http.Get("http://" + string(n.Admin) + "/readyz")
 	if err != nil {
@@ -159,3 +163,10 @@
 	defer response.Body.Close()
 	return response.StatusCode == http.StatusOK
 }
+
+// PID returns the process's id.
+func (n *Node) PID() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cmd.Process.Pid
+}
