Cut off calls to dead instances and check the frame limit

Calls to a lost availability zone would hold their caller's slot until their deadline; Disconnect ends them when an instance is considered dead. A frame limit too small for a head frame is refused when the configuration is checked. The backend client keeps one connection for the health probe, so that both stay within the backend server's limit.

--- a/internal/connection/peer/client.go
+++ b/internal/connection/peer/client.go
@@ -96,6 +96,13 @@
 	return answer, err
 }
 
+// Disconnect cuts off all calls to an instance, with ErrAnswerLost or ErrNotSent. It
+// is for instances that are considered dead: a lost availability zone does not close
+// connections, and calls to it would hold their caller's slot until their deadline.
+func (c *Client) Disconnect(id lagoonbarrow.InstanceID) {
+	c.pool.disconnect(id)
+}
+
 // Usage is what a client holds at one moment.
 type Usage struct {
 	// Peers have open connections for calls.
--- a/internal/connection/peer/config.go
+++ b/internal/connection/peer/config.go
@@ -56,7 +56,7 @@
 	MaxControlConnections int
 	// MaxHandshakes bounds the connections not yet authenticated; 256 by default.
 	MaxHandshakes int
-	// FrameBytes bounds a frame's body; 256 KiB by default.
+	// FrameBytes bounds a frame's body; 256 KiB by default, 8 KiB at least.
 	FrameBytes int
 	// MaxBodyBytes bounds a call's body; 4 MiB by default.
 	MaxBodyBytes int
@@ -98,7 +98,7 @@
 	// IdleControlConnections bounds the kept idle control connections; 32 by
 	// default. A negative value makes every control connection short-lived.
 	IdleControlConnections int
-	// FrameBytes bounds a frame's body; 256 KiB by default.
+	// FrameBytes bounds a frame's body; 256 KiB by default, 8 KiB at least.
 	FrameBytes int
 	// MaxBodyBytes bounds the body of a call and of an answer; 4 MiB by default.
 	MaxBodyBytes int
@@ -124,6 +124,12 @@
 	Scope         tally.Scope
 }
 
+// minFrameBytes holds a head frame with an inline body and some headers.
+const minFrameBytes = 2 * inlineBytes
+
+// errSmallFrames: the frame limit is too low for any call.
+var errSmallFrames = errors.Wrapf(lagoonbarrow.ErrInvalid, "peer: frame limit is below %d bytes", minFrameBytes)
+
 func defaultInt(value *int, fallback int) {
 	if *value == 0 {
 		*value = fallback
@@ -145,6 +151,9 @@
 	defaultInt(&c.MaxControlConnections, defaultMaxControlConnections)
 	defaultInt(&c.MaxHandshakes, defaultMaxHandshakes)
 	defaultInt(&c.FrameBytes, frame.DefaultBytes)
+	if c.FrameBytes < minFrameBytes {
+		return errSmallFrames
+	}
 	defaultInt(&c.MaxBodyBytes, defaultMaxBodyBytes)
 	if c.MaxBufferedBytes == 0 {
 		c.MaxBufferedBytes = defaultMaxBufferedBytes
@@ -168,6 +177,9 @@
 	defaultInt(&c.ConnectionsPerPeer, defaultConnectionsPerPeer)
 	defaultInt(&c.IdleControlConnections, defaultIdleControlConnections)
 	defaultInt(&c.FrameBytes, frame.DefaultBytes)
+	if c.FrameBytes < minFrameBytes {
+		return errSmallFrames
+	}
 	defaultInt(&c.MaxBodyBytes, defaultMaxBodyBytes)
 	defaultDuration(&c.DialTimeout, defaultDialTimeout)
 	defaultDuration(&c.HandshakeTimeout, defaultHandshakeTimeout)
--- a/internal/connection/peer/pool.go
+++ b/internal/connection/peer/pool.go
@@ -26,6 +26,9 @@
 // errClosed: the client was closed.
 var errClosed = errors.Wrap(lagoonbarrow.ErrStopping, "peer: client is closed")
 
+// errDisconnected: Disconnect was called for the peer.
+var errDisconnected = errors.Wrap(lagoonbarrow.ErrNoInstance, "peer: instance was disconnected")
+
 // poolKey names a peer. A new instance at an old address is another peer.
 type poolKey struct {
 	address  lagoonbarrow.Address
@@ -478,6 +481,31 @@
 	}
 }
 
+// disconnect closes all connections to an instance and ends the wait for them.
+func (p *pool) disconnect(id lagoonbarrow.InstanceID) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for c := range p.busy {
+		if c.peer == id {
+			c.close()
+		}
+	}
+	for key, peer := range p.peers {
+		if key.instance != id {
+			continue
+		}
+		for _, c := range peer.idle {
+			c.close()
+		}
+		p.open -= len(peer.idle)
+		peer.idle = nil
+		for _, other := range peer.waiters {
+			other.granted <- errDisconnected
+		}
+		peer.waiters = nil
+	}
+}
+
 // close closes all connections and refuses further calls.
 func (p *pool) close() {
 	p.mutex.Lock()
--- a/internal/connection/peer/pool_test.go
+++ b/internal/connection/peer/pool_test.go
@@ -153,6 +153,26 @@
 	}
 }
 
+// Guards against calls to a dead instance that hold on until their deadline, and
+// against a disconnected instance that can't be called again.
+func TestDisconnectCutsCallsOff(t *testing.T) {
+	work := newBlocking()
+	_, target := startServer(t, work.handle, nil)
+	client := newClient(t, func(config *ClientConfig) { config.ConnectionsPerPeer = 2 })
+	wait := inFlight(client, target, newCall(nil), newCall(nil))
+	eventually(t, "one call waits", func() bool { return work.running.Load() == 1 && waiting(client) == 1 })
+	client.Disconnect("other")
+	client.Disconnect(target.ID)
+	failed := wait()
+	if len(failed) != 2 || errors.Is(failed[0], lagoonbarrow.ErrNotSent) == errors.Is(failed[1], lagoonbarrow.ErrNotSent) {
+		t.Fatal(failed)
+	}
+	close(work.release)
+	if _, err := client.Call(context.Background(), target, newCall(nil)); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // Guards against a time line that is flooded by refused connections.
 func TestEventsAreLimited(t *testing.T) {
 	events := &recorder{}
--- a/internal/request/backend/client.go
+++ b/internal/request/backend/client.go
@@ -37,8 +37,8 @@
 	Address lagoonbarrow.Address
 	// HealthPath is the path that Probe asks for; "/health" by default.
 	HealthPath string
-	// Connections bounds the connections for calls; 500 by default. Probe may
-	// open one more.
+	// Connections bounds the connections; 500 by default. One of them is kept for
+	// Probe, unless it is the only one.
 	Connections int
 	// MaxBodyBytes bounds an answer's body; 4 MiB by default.
 	MaxBodyBytes int
--- a/internal/request/backend/pool.go
+++ b/internal/request/backend/pool.go
@@ -18,6 +18,9 @@
 // connection costs about 1 ms (design 1.1) and avoids that.
 const freshTime = time.Second
 
+// probeConnections are kept for Probe, which must not wait for calls.
+const probeConnections = 1
+
 // pool holds the connections to the backend server.
 type pool struct {
 	config Config
@@ -40,7 +43,7 @@
 		dialer: net.Dialer{
 			Timeout: config.DialTimeout,
 		},
-		slots: make(chan struct{}, config.Connections),
+		slots: make(chan struct{}, max(1, config.Connections-probeConnections)),
 		busy:  map[*connection]struct{}{},
 	}
 }
