Share one virtual-time model among the simulations

Cause: the simulations of the gate and of the router each had an event loop, and the gate's reached into its fields. Change: package model holds the virtual clock, the callers, an entry node's memory of the threshold and the backend server's model; the gate exports Offer and Step for it. The tests' checks are the same; the simulations' tests now use the gate's exported interface only.

--- a/internal/process/admission/control.go
+++ b/internal/process/admission/control.go
@@ -6,9 +6,9 @@
 	"lagoonbarrow"
 )
 
-// step makes one control step and, at the end of a window, moves the threshold
-// and the limit.
-func (g *Gate) step() {
+// Step makes one control step and, at the end of a window, moves the threshold
+// and the limit. Start makes ten steps in each window.
+func (g *Gate) Step() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.config.Clock.Now()
--- a/internal/process/admission/gate.go
+++ b/internal/process/admission/gate.go
@@ -117,7 +117,7 @@
 	for {
 		select {
 		case <-ticker.C:
-			g.step()
+			g.Step()
 		case <-g.stop:
 			return
 		}
@@ -190,6 +190,31 @@
 	return true
 }
 
+// Offer asks for a slot without waiting for the decision. decide takes it exactly
+// once, with the errors of Admit. preempt is called when more important work takes the
+// slot. Both are called with the gate locked and must not call it. Simulations
+// use Offer and Step where processes use Admit and Start.
+func (g *Gate) Offer(work lagoonbarrow.Work, decide func(lagoonbarrow.Permit, error), preempt func(lagoonbarrow.Permit)) {
+	var held *permit
+	g.arrive(&waiter{
+		work: work,
+		settle: func(granted *permit, err error) {
+			if err != nil {
+				decide(nil, err)
+				return
+			}
+			held = granted
+			held.ctx = context.Background()
+			decide(granted, nil)
+		},
+		cancel: func(cause error) {
+			if errors.Is(cause, lagoonbarrow.ErrPreempted) {
+				preempt(held)
+			}
+		},
+	})
+}
+
 // arrive decides on a call or queues it.
 func (g *Gate) arrive(w *waiter) {
 	g.mu.Lock()
--- a/internal/process/admission/gate_test.go
+++ b/internal/process/admission/gate_test.go
@@ -26,6 +26,15 @@
 	critical   = lagoonbarrow.Priority(lagoonbarrow.ImportanceCritical) * 64
 )
 
+// manualClock is a clock that the tests move.
+type manualClock struct {
+	now time.Time
+}
+
+func (c *manualClock) Now() time.Time {
+	return c.now
+}
+
 // call is a call in a test without goroutines.
 type call struct {
 	permit    *permit
@@ -55,7 +64,7 @@
 // warmGate returns a gate whose limit has reached the slots.
 func warmGate(t *testing.T, config Config) (*Gate, *manualClock) {
 	t.Helper()
-	clock := newManualClock()
+	clock := &manualClock{now: time.Unix(1_000_000, 0)}
 	config.Clock = clock
 	gate, err := New(config)
 	if err != nil {
@@ -70,16 +79,14 @@
 	const step = DefaultWindow / samplesPerWindow
 	for passed := time.Duration(0); passed < length; passed += step {
 		c.now = c.now.Add(step)
-		gate.step()
+		gate.Step()
 	}
 }
 
 // Guards against critical work that waits for a slot behind other work, against
 // preemption of the wrong call, and against more preemptions than waiting calls.
 func TestCriticalWorkPreempts(t *testing.T) {
-	gate, clock := warmGate(t, Config{
-		Slots: 4,
-	})
+	gate, clock := warmGate(t, Config{Slots: 4})
 	var running []*call
 	for _, priority := range []lagoonbarrow.Priority{deferrable, normal, deferrable, normal} {
 		running = append(running, ask(gate, lagoonbarrow.Work{Priority: priority}))
@@ -121,9 +128,7 @@
 // Guards against critical work that waits for a preempted call that does not
 // end on cancellation.
 func TestPreemptedCallThatDoesNotEnd(t *testing.T) {
-	gate, clock := warmGate(t, Config{
-		Slots: 2,
-	})
+	gate, clock := warmGate(t, Config{Slots: 2})
 	stubborn := ask(gate, lagoonbarrow.Work{Priority: deferrable})
 	newest := ask(gate, lagoonbarrow.Work{Priority: deferrable})
 	ask(gate, lagoonbarrow.Work{Priority: critical})
@@ -140,9 +145,7 @@
 // Guards against critical work that is refused by the threshold of one lane
 // while lower work is admitted to the other.
 func TestCriticalWorkIsAdmittedBesideLowerWork(t *testing.T) {
-	gate, _ := warmGate(t, Config{
-		Slots: 8,
-	})
+	gate, _ := warmGate(t, Config{Slots: 8})
 	gate.long.control.threshold = 255
 	long := lagoonbarrow.Work{Priority: critical, Long: true}
 	if refused := ask(gate, long); refused.err == nil {
@@ -156,14 +159,12 @@
 
 // Guards against a threshold that rises because the process was paused.
 func TestPauseDoesNotRaiseThreshold(t *testing.T) {
-	gate, clock := warmGate(t, Config{
-		Slots: 1,
-	})
+	gate, clock := warmGate(t, Config{Slots: 1})
 	running := ask(gate, lagoonbarrow.Work{Priority: normal})
 	queued := ask(gate, lagoonbarrow.Work{Priority: normal})
 	clock.advance(gate, DefaultWindow/2)
 	clock.now = clock.now.Add(10 * time.Second)
-	gate.step()
+	gate.Step()
 	if gate.Threshold() != 0 || !queued.waiting() {
 		t.Errorf("threshold %d, queued call %v", gate.Threshold(), queued.err)
 	}
@@ -173,9 +174,7 @@
 // Guards against a reserve that other work takes, and against an idle reserve
 // when there is no critical work.
 func TestCriticalReserve(t *testing.T) {
-	gate, clock := warmGate(t, Config{
-		Slots: 20,
-	})
+	gate, clock := warmGate(t, Config{Slots: 20})
 	ask(gate, lagoonbarrow.Work{Priority: critical}).permit.Release(true)
 	granted := 0
 	for range 20 {
@@ -198,9 +197,7 @@
 // Guards against an unbounded queue, and against a full queue that refuses more
 // important work than it holds.
 func TestFullQueue(t *testing.T) {
-	gate, _ := warmGate(t, Config{
-		Slots: 2,
-	})
+	gate, _ := warmGate(t, Config{Slots: 2})
 	var queued []*call
 	for i := range 2 + 2*queueFactor {
 		queued = append(queued, ask(gate, lagoonbarrow.Work{Priority: normal + lagoonbarrow.Priority(i)}))
@@ -357,9 +354,7 @@
 }
 
 func BenchmarkAdmit(b *testing.B) {
-	gate, err := New(Config{
-		Slots: 200,
-	})
+	gate, err := New(Config{Slots: 200})
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -382,9 +377,7 @@
 }
 
 func BenchmarkStep(b *testing.B) {
-	gate, err := New(Config{
-		Slots: 200,
-	})
+	gate, err := New(Config{Slots: 200})
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/internal/process/admission/lanes_test.go
+++ b/internal/process/admission/lanes_test.go
@@ -1,4 +1,4 @@
-package admission
+package admission_test
 
 import (
 	"slices"
@@ -6,32 +6,32 @@
 	"time"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/process/admission"
+	"lagoonbarrow/internal/process/admission/model"
 )
 
-func shortWork(rate float64) *source {
-	return &source{
-		name:     "resolution",
-		level:    lagoonbarrow.ImportanceNormal,
-		deadline: 2 * time.Second,
-		rate:     constant(rate),
-		service:  heavyTail(10*time.Millisecond, 0, 1),
+func shortWork(rate float64) *model.Source {
+	return &model.Source{
+		Name:     "resolution",
+		Level:    lagoonbarrow.ImportanceNormal,
+		Deadline: 2 * time.Second,
+		Rate:     model.Constant(rate),
+		Service:  model.HeavyTail(10*time.Millisecond, 0, 1),
 	}
 }
 
 // runLanes runs short work alone or beside long work and returns the short work's outcome.
-func runLanes(t *testing.T, seed uint64, slots int, long *source) (*simulation, *outcome) {
+func runLanes(t *testing.T, seed uint64, slots int, long *model.Source) (*model.Simulation, *model.Outcome) {
 	t.Helper()
-	s := newSimulation(t, seed, Config{
-		Slots: slots,
-	})
-	s.from = 3 * time.Second
+	s := newSimulation(t, seed, slots)
+	s.From = 3 * time.Second
 	// Half of the slots' capacity.
-	sources := []*source{shortWork(0.5 * float64(slots) / 0.01)}
+	sources := []*model.Source{shortWork(0.5 * float64(slots) / 0.01)}
 	if long != nil {
 		sources = append(sources, long)
 	}
-	s.run(10*time.Second, sources...)
-	return s, s.outcomes["resolution"]
+	s.Run(10*time.Second, sources...)
+	return s, s.Outcomes["resolution"]
 }
 
 // Guards against short work that waits behind long work, declared or not.
@@ -42,29 +42,29 @@
 			for _, seed := range seeds {
 				_, alone := runLanes(t, seed, slots, nil)
 				// The long work asks for twice the slots.
-				s, beside := runLanes(t, seed, slots, &source{
-					name:     "year-of-minutes",
-					level:    lagoonbarrow.ImportanceNormal,
-					long:     declared,
-					deadline: 10 * time.Second,
-					rate:     constant(2 * float64(slots) / 0.5),
-					service:  heavyTail(500*time.Millisecond, 0, 1),
+				s, beside := runLanes(t, seed, slots, &model.Source{
+					Name:     "year-of-minutes",
+					Level:    lagoonbarrow.ImportanceNormal,
+					Long:     declared,
+					Deadline: 10 * time.Second,
+					Rate:     model.Constant(2 * float64(slots) / 0.5),
+					Service:  model.HeavyTail(500*time.Millisecond, 0, 1),
 				})
-				before := percentile(alone.totals, 0.99)
-				after := percentile(beside.totals, 0.99)
+				before := model.P99(alone.Totals)
+				after := model.P99(beside.Totals)
 				t.Logf("slots %d, declared %v: p99 %v alone, %v beside long work; p99 wait %v and %v; refused %d of %d; long done %d",
-					slots, declared, before, after, percentile(alone.waits, 0.99), percentile(beside.waits, 0.99),
-					beside.refused, beside.offered, s.outcomes["year-of-minutes"].done)
+					slots, declared, before, after, model.P99(alone.Waits), model.P99(beside.Waits),
+					beside.Refused, beside.Offered, s.Outcomes["year-of-minutes"].Done)
 				if float64(after) > 1.5*float64(before) {
 					t.Errorf("slots %d, declared %v: p99 %v alone, %v beside long work", slots, declared, before, after)
 				}
-				if beside.refused > 0 {
-					t.Errorf("slots %d, declared %v: %d short calls refused", slots, declared, beside.refused)
+				if beside.Refused > 0 {
+					t.Errorf("slots %d, declared %v: %d short calls refused", slots, declared, beside.Refused)
 				}
-				if found := slices.Contains(s.gate.operations.longNames(), "year-of-minutes"); found == declared && !declared {
+				if found := slices.Contains(s.Gate.Status().LongOperations, "year-of-minutes"); found == declared && !declared {
 					t.Errorf("slots %d: long work declared short was not found", slots)
 				}
-				if s.outcomes["year-of-minutes"].done == 0 {
+				if s.Outcomes["year-of-minutes"].Done == 0 {
 					t.Errorf("slots %d, declared %v: long work starved", slots, declared)
 				}
 			}
@@ -78,30 +78,28 @@
 func TestSlowDownstreamService(t *testing.T) {
 	t.Parallel()
 	for _, seed := range seeds {
-		s := newSimulation(t, seed, Config{
-			Slots: 70,
-		})
-		s.slowdown = func(since time.Duration, from *source, _ int) float64 {
-			if from.name == "attendance" && since > 10*time.Second && since < 20*time.Second {
+		s := newSimulation(t, seed, 70)
+		s.Slowdown = func(from *model.Source, _ int) float64 {
+			if from.Name == "attendance" && s.Since() > 10*time.Second && s.Since() < 20*time.Second {
 				return 30
 			}
 			return 1
 		}
-		seen := s.watchLimit(5 * time.Second)
-		s.from = 11 * time.Second
+		seen := watchLimit(s, 5*time.Second)
+		s.From = 11 * time.Second
 		using := shortWork(1500)
-		using.name = "attendance"
-		s.run(25*time.Second, shortWork(2000), using)
-		other := s.outcomes["resolution"]
+		using.Name = "attendance"
+		s.Run(25*time.Second, shortWork(2000), using)
+		other := s.Outcomes["resolution"]
 		t.Logf("limit down to %d; other calls: p99 %v, refused %d of %d", seen.lowest,
-			percentile(other.totals, 0.99), other.refused, other.offered)
+			model.P99(other.Totals), other.Refused, other.Offered)
 		if seen.lowest < 70 {
 			t.Errorf("limit down to %d", seen.lowest)
 		}
-		if 100*other.refused > other.offered {
-			t.Errorf("%d of %d calls that do not use the slow service were refused", other.refused, other.offered)
+		if 100*other.Refused > other.Offered {
+			t.Errorf("%d of %d calls that do not use the slow service were refused", other.Refused, other.Offered)
 		}
-		if names := s.gate.operations.longNames(); len(names) > 0 {
+		if names := s.Gate.Status().LongOperations; len(names) > 0 {
 			t.Errorf("still long: %v", names)
 		}
 	}
@@ -111,23 +109,21 @@
 // slow downstream service.
 func TestDownstreamTimeIsNotLatency(t *testing.T) {
 	t.Parallel()
-	s := newSimulation(t, seeds[0], Config{
-		Slots: 70,
-	})
-	seen := s.watchLimit(5 * time.Second)
-	s.called = func(p *permit, rest func()) {
-		done := p.Downstream()
+	s := newSimulation(t, seeds[0], 70)
+	seen := watchLimit(s, 5*time.Second)
+	s.Called = func(p lagoonbarrow.Permit, rest func()) {
+		done := p.(admission.DownstreamTimer).Downstream()
 		away := 10 * time.Millisecond
-		if s.since() > 5*time.Second {
+		if s.Since() > 5*time.Second {
 			away *= 5
 		}
-		s.at(away, func() {
+		s.After(away, func() {
 			done()
 			done()
 			rest()
 		})
 	}
-	s.run(10*time.Second, shortWork(5000))
+	s.Run(10*time.Second, shortWork(5000))
 	t.Logf("limit down to %d", seen.lowest)
 	if seen.lowest < 70 {
 		t.Errorf("limit down to %d", seen.lowest)
--- a/internal/process/admission/overload_test.go
+++ b/internal/process/admission/overload_test.go
@@ -1,4 +1,4 @@
-package admission
+package admission_test
 
 import (
 	"fmt"
@@ -9,6 +9,8 @@
 	"time"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/process/admission"
+	"lagoonbarrow/internal/process/admission/model"
 )
 
 // seeds are the seeds of all simulations.
@@ -23,35 +25,38 @@
 	return 20 * time.Millisecond
 }
 
-// mixture offers load times the capacity of slots with the three levels in
-// the ratio 10 : 30 : 60.
-func mixture(load float64, slots int, mean, deadline time.Duration, surge func(time.Duration) float64) []*source {
-	capacity := float64(slots) / mean.Seconds()
-	levels := []struct {
-		name  string
-		level lagoonbarrow.Importance
-		part  float64
-	}{
-		{"filing", lagoonbarrow.ImportanceCritical, 0.1},
-		{"lookup", lagoonbarrow.ImportanceNormal, 0.3},
-		{"browse", lagoonbarrow.ImportanceDeferrable, 0.6},
-	}
-	var sources []*source
-	for _, entry := range levels {
-		sources = append(sources, &source{
-			name:     entry.name,
-			level:    entry.level,
-			deadline: deadline,
-			rate: func(since time.Duration) float64 {
-				return load * capacity * entry.part * surge(since)
-			},
-			service: exponential(mean),
-		})
+func newSimulation(t *testing.T, seed uint64, slots int) *model.Simulation {
+	t.Helper()
+	t.Logf("seed %d", seed)
+	s, err := model.New(seed, admission.Config{Slots: slots})
+	if err != nil {
+		t.Fatal(err)
 	}
-	return sources
+	return s
 }
 
-func steady(time.Duration) float64 { return 1 }
+// watch follows the limit.
+type watch struct {
+	steps, below, lowest int
+}
+
+// watchLimit counts the control steps from a time on, and those with a limit
+// below 9/10 of the slots.
+func watchLimit(s *model.Simulation, from time.Duration) *watch {
+	seen := &watch{lowest: s.Slots}
+	s.Observe = func() {
+		limit := s.Gate.Load().Limit
+		if s.Since() < from {
+			return
+		}
+		seen.steps++
+		seen.lowest = min(seen.lowest, limit)
+		if 10*limit < 9*s.Slots {
+			seen.below++
+		}
+	}
+	return seen
+}
 
 // Guards against lost goodput at twice the capacity, and against critical calls
 // that are refused or late while less important work is admitted.
@@ -71,24 +76,22 @@
 		for _, slots := range []int{15, 70, 200} {
 			for _, seed := range seeds {
 				mean := meanOf(slots)
-				s := newSimulation(t, seed, Config{
-					Slots: slots,
-				})
-				s.from = 2 * time.Second
-				s.retries = entry.retries
+				s := newSimulation(t, seed, slots)
+				s.From = 2 * time.Second
+				s.Retries = entry.retries
 				if entry.entry {
-					s.entry = &entryModel{}
+					s.Entry = &model.Entry{}
 				}
-				s.run(8*time.Second, mixture(2, slots, mean, 20*mean, steady)...)
-				part := s.useful.Seconds() / 6 / float64(slots)
+				s.Run(8*time.Second, model.Mixture(2, slots, mean, 20*mean, model.Steady)...)
+				part := s.Useful.Seconds() / 6 / float64(slots)
 				t.Logf("slots %d, %s: goodput %.3f of capacity, limit %d (%s)",
-					slots, entry.name, part, s.gate.limiter.limit, s.gate.limiter.reason)
+					slots, entry.name, part, s.Gate.Load().Limit, s.Gate.Status().LimitReason)
 				if part < 0.9 {
 					t.Errorf("slots %d, %s: goodput %.3f of capacity", slots, entry.name, part)
 				}
-				filings := s.outcomes["filing"]
-				if filings.refused+filings.late > 0 {
-					t.Errorf("slots %d, %s: filings refused %d, late %d", slots, entry.name, filings.refused, filings.late)
+				filings := s.Outcomes["filing"]
+				if filings.Refused+filings.Late > 0 {
+					t.Errorf("slots %d, %s: filings refused %d, late %d", slots, entry.name, filings.Refused, filings.Late)
 				}
 			}
 		}
@@ -108,17 +111,18 @@
 	lowest           int
 }
 
-func followRecovery(s *simulation, begin, end time.Duration) *recovery {
+func followRecovery(s *model.Simulation, begin, end time.Duration) *recovery {
 	r := &recovery{
 		end:    end,
-		lowest: s.gate.config.Slots,
+		lowest: s.Slots,
 	}
-	s.observe = func(since time.Duration) {
-		inOrder := s.gate.short.control.threshold == 0 && s.gate.limiter.limit == s.gate.config.Slots
+	s.Observe = func() {
+		since := s.Since()
+		inOrder := s.Gate.Threshold() == 0 && s.Gate.Load().Limit == s.Slots
 		switch {
 		case since > begin && since <= end:
-			r.highest = max(r.highest, s.gate.short.control.threshold)
-			r.lowest = min(r.lowest, s.gate.limiter.limit)
+			r.highest = max(r.highest, s.Gate.Threshold())
+			r.lowest = min(r.lowest, s.Gate.Load().Limit)
 		case since > end && !r.recovered:
 			r.recovered = inOrder
 			r.after = since - end
@@ -160,9 +164,7 @@
 	}
 	for _, entry := range cases {
 		for _, seed := range seeds {
-			s := newSimulation(t, seed, Config{
-				Slots: entry.slots,
-			})
+			s := newSimulation(t, seed, entry.slots)
 			surge := func(since time.Duration) float64 {
 				if since >= begin && since < end {
 					return 4 / entry.load
@@ -170,20 +172,20 @@
 				return 1
 			}
 			// The backend server slows down up to threefold near its slots while the surge lasts.
-			s.slowdown = func(since time.Duration, _ *source, running int) float64 {
-				if surge(since) == 1 {
+			s.Slowdown = func(_ *model.Source, running int) float64 {
+				if surge(s.Since()) == 1 {
 					return 1
 				}
 				return 1 + 2*float64(running)/float64(entry.slots)
 			}
 			r := followRecovery(s, begin, end)
-			s.run(20*time.Second, mixture(entry.load, entry.slots, meanOf(entry.slots), time.Second, surge)...)
+			s.Run(20*time.Second, model.Mixture(entry.load, entry.slots, meanOf(entry.slots), time.Second, surge)...)
 			r.check(t, fmt.Sprintf("slots %d", entry.slots))
 			if r.highest == 0 {
 				t.Errorf("slots %d: the surge did not raise the threshold", entry.slots)
 			}
-			if s.criticalFault > 0 {
-				t.Errorf("slots %d: %d critical calls shed while lower work was admitted", entry.slots, s.criticalFault)
+			if s.CriticalFaults > 0 {
+				t.Errorf("slots %d: %d critical calls shed while lower work was admitted", entry.slots, s.CriticalFaults)
 			}
 		}
 	}
@@ -195,9 +197,7 @@
 	t.Parallel()
 	const begin, end = 3 * time.Second, 13 * time.Second
 	for seed := range uint64(5 * rounds()) {
-		s := newSimulation(t, seed, Config{
-			Slots: 30,
-		})
+		s := newSimulation(t, seed, 30)
 		random := rand.New(rand.NewPCG(seed, 1))
 		var load, slowness [end / time.Second]float64
 		for second := range load {
@@ -207,16 +207,16 @@
 		disturbed := func(since time.Duration) bool {
 			return since >= begin && since < end
 		}
-		sources := mixture(0.6, 30, 20*time.Millisecond, time.Second, func(since time.Duration) float64 {
+		sources := model.Mixture(0.6, 30, 20*time.Millisecond, time.Second, func(since time.Duration) float64 {
 			if disturbed(since) {
 				return load[since/time.Second]
 			}
 			return 1
 		})
 		for _, from := range sources {
-			from.service = func(random *rand.Rand) time.Duration {
-				drawn := exponential(20 * time.Millisecond)(random)
-				since := s.since()
+			from.Service = func(random *rand.Rand) time.Duration {
+				drawn := model.Exponential(20 * time.Millisecond)(random)
+				since := s.Since()
 				if !disturbed(since) {
 					return drawn
 				}
@@ -228,10 +228,10 @@
 			}
 		}
 		r := followRecovery(s, begin, end)
-		s.run(18*time.Second, sources...)
+		s.Run(18*time.Second, sources...)
 		r.check(t, fmt.Sprintf("load %.1f, slowness %v", load[begin/time.Second:], slowness[begin/time.Second:]))
-		if s.criticalFault > 0 {
-			t.Errorf("%d critical calls shed while lower work was admitted", s.criticalFault)
+		if s.CriticalFaults > 0 {
+			t.Errorf("%d critical calls shed while lower work was admitted", s.CriticalFaults)
 		}
 	}
 }
@@ -251,21 +251,19 @@
 	t.Parallel()
 	for _, factor := range []float64{3, 10} {
 		for _, seed := range seeds {
-			s := newSimulation(t, seed, Config{
-				Slots: 70,
-			})
-			s.slowdown = func(since time.Duration, _ *source, _ int) float64 {
-				if since > 5*time.Second {
+			s := newSimulation(t, seed, 70)
+			s.Slowdown = func(_ *model.Source, _ int) float64 {
+				if s.Since() > 5*time.Second {
 					return factor
 				}
 				return 1
 			}
-			seen := s.watchLimit(5 * time.Second)
-			s.run(20*time.Second, mixture(0.8, 70, 20*time.Millisecond, 2*time.Second, steady)...)
+			seen := watchLimit(s, 5*time.Second)
+			s.Run(20*time.Second, model.Mixture(0.8, 70, 20*time.Millisecond, 2*time.Second, model.Steady)...)
 			t.Logf("factor %g: limit down to %d, below 63 of 70 in %d of %d steps, at the end %d (%s)",
-				factor, seen.lowest, seen.below, seen.steps, s.gate.limiter.limit, s.gate.limiter.reason)
-			if 10*seen.below > seen.steps || s.gate.limiter.limit != 70 {
-				t.Errorf("factor %g: limit below 63 in %d of %d steps, at the end %d", factor, seen.below, seen.steps, s.gate.limiter.limit)
+				factor, seen.lowest, seen.below, seen.steps, s.Gate.Load().Limit, s.Gate.Status().LimitReason)
+			if 10*seen.below > seen.steps || s.Gate.Load().Limit != 70 {
+				t.Errorf("factor %g: limit below 63 in %d of %d steps, at the end %d", factor, seen.below, seen.steps, s.Gate.Load().Limit)
 			}
 		}
 	}
@@ -279,26 +277,24 @@
 		name    string
 		service func(*rand.Rand) time.Duration
 	}{
-		{"exponential", exponential(20 * time.Millisecond)},
-		{"2 % take 50 times as long", heavyTail(10*time.Millisecond, 0.02, 50)},
-		{"10 % take 20 times as long", heavyTail(10*time.Millisecond, 0.1, 20)},
-		{"half take 10 times as long", heavyTail(5*time.Millisecond, 0.5, 10)},
+		{"exponential", model.Exponential(20 * time.Millisecond)},
+		{"2 % take 50 times as long", model.HeavyTail(10*time.Millisecond, 0.02, 50)},
+		{"10 % take 20 times as long", model.HeavyTail(10*time.Millisecond, 0.1, 20)},
+		{"half take 10 times as long", model.HeavyTail(5*time.Millisecond, 0.5, 10)},
 	}
 	for _, shape := range shapes {
 		for _, slots := range []int{15, 70} {
 			for _, load := range []float64{0.5, 1.5} {
-				s := newSimulation(t, seeds[0], Config{
-					Slots: slots,
-				})
-				seen := s.watchLimit(6 * time.Second)
+				s := newSimulation(t, seeds[0], slots)
+				seen := watchLimit(s, 6*time.Second)
 				// The sources' mean is about 20 ms for all shapes but the last.
-				sources := mixture(load, slots, 20*time.Millisecond, 5*time.Second, steady)
+				sources := model.Mixture(load, slots, 20*time.Millisecond, 5*time.Second, model.Steady)
 				for _, from := range sources {
-					from.service = shape.service
+					from.Service = shape.service
 				}
-				s.run(20*time.Second, sources...)
+				s.Run(20*time.Second, sources...)
 				t.Logf("%s, slots %d, load %g: limit down to %d, long operations %v",
-					shape.name, slots, load, seen.lowest, s.gate.operations.longNames())
+					shape.name, slots, load, seen.lowest, s.Gate.Status().LongOperations)
 				if seen.lowest < slots {
 					t.Errorf("%s, slots %d, load %g: limit down to %d", shape.name, slots, load, seen.lowest)
 				}
--- a/internal/process/route/router_test.go
+++ b/internal/process/route/router_test.go
@@ -9,11 +9,17 @@
 	"lagoonbarrow"
 )
 
+type manualClock struct {
+	now time.Time
+}
+
+func (c *manualClock) Now() time.Time {
+	return c.now
+}
+
 func newRouter(t testing.TB, instances []lagoonbarrow.Instance, config Config) (*Router, *manualClock) {
 	t.Helper()
-	clock := &manualClock{
-		now: time.Unix(1_000_000, 0),
-	}
+	clock := &manualClock{now: time.Unix(1_000_000, 0)}
 	config.Roster = &staticRoster{
 		self:      instances[0],
 		instances: instances,
@@ -207,9 +213,7 @@
 
 // Guards against tables that outgrow their bounds or forget calls in flight.
 func TestBoundedTables(t *testing.T) {
-	router, _ := newRouter(t, readyInstances(1), Config{
-		Entries: 2,
-	})
+	router, _ := newRouter(t, readyInstances(1), Config{Entries: 2})
 	router.Started("0")
 	router.Started("1")(lagoonbarrow.Observation{})
 	router.Started("2")
@@ -227,9 +231,7 @@
 
 // Guards against a baseline that is not round robin.
 func TestPlain(t *testing.T) {
-	router, _ := newRouter(t, readyInstances(4), Config{
-		Plain: true,
-	})
+	router, _ := newRouter(t, readyInstances(4), Config{Plain: true})
 	router.Started("1")(lagoonbarrow.Observation{Failed: true})
 	for id, count := range picks(t, router) {
 		if count != 250 {
@@ -245,9 +247,7 @@
 				router, _ := newRouter(b, readyInstances(count), Config{})
 				router.config.Clock = systemClock{}
 				for i := range count {
-					router.Started(lagoonbarrow.InstanceID(fmt.Sprint(i)))(lagoonbarrow.Observation{
-						Latency: time.Duration(i+50) * time.Millisecond,
-					})
+					router.Started(lagoonbarrow.InstanceID(fmt.Sprint(i)))(lagoonbarrow.Observation{Latency: time.Duration(i+50) * time.Millisecond})
 				}
 				b.ReportAllocs()
 				for b.Loop() {
@@ -255,9 +255,7 @@
 					if err != nil {
 						b.Fatal(err)
 					}
-					router.Started(chosen.ID)(lagoonbarrow.Observation{
-						Latency: 60 * time.Millisecond,
-					})
+					router.Started(chosen.ID)(lagoonbarrow.Observation{Latency: 60 * time.Millisecond})
 				}
 			})
 		}
--- a/internal/process/route/sim_test.go
+++ b/internal/process/route/sim_test.go
@@ -1,25 +1,16 @@
 package route
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"sort"
 	"testing"
 	"time"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/process/admission/model"
 )
 
-type manualClock struct {
-	now time.Time
-}
-
-func (c *manualClock) Now() time.Time {
-	return c.now
-}
-
 // staticRoster is a roster that the tests set.
 type staticRoster struct {
 	lagoonbarrow.Roster
@@ -48,36 +39,10 @@
 	return made
 }
 
-type simEvent struct {
-	at    time.Duration
-	order int
-	run   func()
-}
-
-type simEvents []simEvent
-
-func (e simEvents) Len() int { return len(e) }
-func (e simEvents) Less(i, j int) bool {
-	if e[i].at != e[j].at {
-		return e[i].at < e[j].at
-	}
-	return e[i].order < e[j].order
-}
-func (e simEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *simEvents) Push(x any)   { *e = append(*e, x.(simEvent)) }
-func (e *simEvents) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // simulation runs several routers against four model instances in virtual time.
 type simulation struct {
-	clock   *manualClock
-	now     time.Duration
+	*model.Loop
 	random  *rand.Rand
-	events  simEvents
-	order   int
 	routers []*Router
 	busy    [4]int
 	queues  [4][]func()
@@ -95,18 +60,9 @@
 	simMedian = 20 * time.Millisecond
 )
 
-func (s *simulation) after(delay time.Duration, run func()) {
-	s.order++
-	heap.Push(&s.events, simEvent{
-		at:    s.now + delay,
-		order: s.order,
-		run:   run,
-	})
-}
-
 func simulate(seed uint64, plain bool, length time.Duration, rate, tail float64, factor func(time.Duration, int) float64) *simulation {
 	s := &simulation{
-		clock:  &manualClock{},
+		Loop:   model.NewLoop(),
 		random: rand.New(rand.NewPCG(seed, 1)),
 		factor: factor,
 		tail:   tail,
@@ -119,7 +75,7 @@
 				self:      instances[i],
 				instances: instances,
 			},
-			Clock: s.clock,
+			Clock: s,
 			Seed:  seed + uint64(i),
 			Plain: plain,
 		})
@@ -131,23 +87,15 @@
 	var arrive func()
 	arrive = func() {
 		s.call(s.routers[s.random.IntN(len(s.routers))])
-		s.after(time.Duration(s.random.ExpFloat64()/rate*float64(time.Second)), arrive)
-	}
-	s.after(0, arrive)
-	for len(s.events) > 0 {
-		next := heap.Pop(&s.events).(simEvent)
-		if next.at > length {
-			break
-		}
-		s.now = next.at
-		s.clock.now = time.Unix(1_000_000, 0).Add(s.now)
-		next.run()
+		s.After(time.Duration(s.random.ExpFloat64()/rate*float64(time.Second)), arrive)
 	}
+	s.After(0, arrive)
+	s.Run(length)
 	return s
 }
 
 func (s *simulation) call(router *Router) {
-	began := s.now
+	began := s.Since()
 	chosen, err := router.Pick("a", "", nil)
 	if err != nil {
 		panic(err)
@@ -158,14 +106,12 @@
 	ended := router.Started(chosen.ID)
 	s.serve(index, func() {
 		if began >= s.from {
-			s.totals = append(s.totals, s.now-began)
+			s.totals = append(s.totals, s.Since()-began)
 		}
 		ended(lagoonbarrow.Observation{
-			Latency: s.now - began,
+			Latency: s.Since() - began,
 			HasLoad: true,
-			Load: lagoonbarrow.Load{
-				Queued: len(s.queues[index]),
-			},
+			Load:    lagoonbarrow.Load{Queued: len(s.queues[index])},
 		})
 	})
 }
@@ -177,11 +123,11 @@
 		return
 	}
 	s.busy[index]++
-	drawn := float64(simMedian) * math.Exp(0.3*s.random.NormFloat64()) * s.factor(s.now, index)
+	drawn := float64(simMedian) * math.Exp(0.3*s.random.NormFloat64()) * s.factor(s.Since(), index)
 	if s.random.Float64() < s.tail {
 		drawn *= 5
 	}
-	s.after(time.Duration(drawn), func() {
+	s.After(time.Duration(drawn), func() {
 		s.busy[index]--
 		done()
 		if queue := s.queues[index]; len(queue) > 0 {
@@ -191,11 +137,6 @@
 	})
 }
 
-func (s *simulation) p99() time.Duration {
-	sort.Slice(s.totals, func(i, j int) bool { return s.totals[i] < s.totals[j] })
-	return s.totals[len(s.totals)*99/100]
-}
-
 // Guards against slow answers that a straggler causes, and against a straggler of the
 // past that gets no calls any more.
 func TestOneStragglerInFour(t *testing.T) {
@@ -225,9 +166,9 @@
 			}
 			with := simulate(seed, false, 14*time.Second, load.rate, load.tail, factor)
 			plain := simulate(seed, true, 14*time.Second, load.rate, load.tail, factor)
-			ratio := float64(with.p99()) / float64(base.p99())
+			ratio := float64(model.P99(with.totals)) / float64(model.P99(base.totals))
 			t.Logf("seed %d, %g/s, tail %g, %s: p99 %v, %v without straggler, ratio %.2f, picks %v; round robin: p99 %v",
-				seed, load.rate, load.tail, entry.name, with.p99(), base.p99(), ratio, with.picks, plain.p99())
+				seed, load.rate, load.tail, entry.name, model.P99(with.totals), model.P99(base.totals), ratio, with.picks, model.P99(plain.totals))
 			if ratio > 1.5 {
 				t.Errorf("%g/s, tail %g, %s: ratio %.2f", load.rate, load.tail, entry.name, ratio)
 			}
@@ -235,7 +176,7 @@
 			if !entry.slow(10*time.Second) && 20*with.picks[0] < len(with.totals) {
 				t.Errorf("%g/s, tail %g, %s: the recovered instance got %d calls", load.rate, load.tail, entry.name, with.picks[0])
 			}
-			if plain.p99() < with.p99() {
+			if model.P99(plain.totals) < model.P99(with.totals) {
 				t.Errorf("%g/s, tail %g, %s: round robin is better", load.rate, load.tail, entry.name)
 			}
 		}
--- a/internal/request/budget/ledger_test.go
+++ b/internal/request/budget/ledger_test.go
@@ -116,11 +116,7 @@
 // Guards against a table of an account's calls that outgrows its bound, or that
 // admits unrecognised repeats when it is full.
 func TestFullCallTable(t *testing.T) {
-	account := New(Config{
-		CallsPerAccount: 2,
-	}).Open(&lagoonbarrow.Call{
-		Tokens: 1,
-	}, time.Time{})
+	account := New(Config{CallsPerAccount: 2}).Open(&lagoonbarrow.Call{Tokens: 1}, time.Time{})
 	for i, want := range []error{nil, nil, nil, lagoonbarrow.ErrExhausted} {
 		started, err := account.Begin(&lagoonbarrow.Call{Method: "GET", Path: fmt.Sprint(i)})
 		if !errors.Is(err, want) {
