Tell clients of a stopping server in every case

A call that ended while the stop began could miss going-away: it looked for the stop before, and the announcement after it saw the call still running. The connection then stayed open until the client's idle timeout, and the stop waited for it. Found by reading; no test run showed it.

--- a/internal/connection/peer/session.go
+++ b/internal/connection/peer/session.go
@@ -26,7 +26,7 @@
 	// next receives the result of waiting for the next frame.
 	next chan error
 
-	// mutex guards writing and the fields below.
+	// mutex guards writing and the fields below. It is taken before the server's.
 	mutex     sync.Mutex
 	running   bool
 	announced bool
@@ -130,10 +130,12 @@
 	c := s.connection
 	s.server.buffered.Add(int64(len(body)))
 	defer s.server.unreserve(len(body))
-	stopping := s.server.isStopping()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.running = false
+	// Asked under the mutex: announce either came before, when the server was
+	// already stopping, or comes after and finds the connection idle.
+	stopping := s.server.isStopping()
 	_ = c.raw.SetWriteDeadline(time.Now().Add(s.server.config.TransferTimeout))
 	if stopping && !s.announced {
 		if err := c.out.Append(&packet{GoingAway: &goingAway{}}); err != nil {
