Announce applied contract changes to random peers

After a reader's push and its one forwarding, a change spread only with membership messages, once a second and node. Now each node that applied news tells 4 random peers its revision, and those that are behind pull, so that a record still travels to a node about once.

--- a/internal/version/contract/distributor_test.go
+++ b/internal/version/contract/distributor_test.go
@@ -40,12 +40,13 @@
 		reads := f.table.reads
 		sent := f.sent
 		f.tickAll()
+		hops := f.settle()
 		pushed := len(f.members) - f.behind(record.Revision)
 		for number := range f.members {
 			f.gossip(number, random.IntN(len(f.members)))
 		}
-		t.Logf("round %d: in force on %d after the pushes, %d behind after gossip, %d table reads, %d messages",
-			round, pushed, f.behind(record.Revision), f.table.reads-reads, f.sent-sent)
+		t.Logf("round %d: in force on %d after the pushes (%d hops), %d behind after gossip, %d table reads, %d messages",
+			round, pushed, hops, f.behind(record.Revision), f.table.reads-reads, f.sent-sent)
 	}
 	if behind := f.behind(record.Revision); behind > 0 {
 		t.Fatalf("%d instances are behind after 7 rounds", behind)
--- a/internal/version/contract/fleet_test.go
+++ b/internal/version/contract/fleet_test.go
@@ -80,6 +80,25 @@
 	f.node(to).pullWanted(context.Background())
 }
 
+// settle lets all nodes pull what pushes announced, and returns the number of
+// message hops that this took.
+func (f *fleet) settle() int {
+	for hops := 0; ; hops++ {
+		pulled := false
+		for _, node := range f.nodes {
+			select {
+			case <-node.pulling:
+				node.pullWanted(context.Background())
+				pulled = true
+			default:
+			}
+		}
+		if !pulled {
+			return hops
+		}
+	}
+}
+
 func (f *fleet) tickAll() {
 	for number := range f.members {
 		if !f.cut[f.members[number].Peer] {
--- a/internal/version/contract/pull.go
+++ b/internal/version/contract/pull.go
@@ -63,6 +63,12 @@
 
 func (d *Distributor) pullWanted(ctx context.Context) {
 	target := d.takeWanted()
+	before := d.config.Registry.Revision()
+	defer func() {
+		if d.config.Registry.Revision() > before {
+			d.announce()
+		}
+	}()
 	for d.config.Registry.Revision() < target.revision {
 		progressed, err := d.pull(ctx, target.peer)
 		if errors.Is(err, errTrimmed) {
--- a/internal/version/contract/push.go
+++ b/internal/version/contract/push.go
@@ -11,8 +11,16 @@
 // pushPeers is the number of random peers that a push goes to.
 const pushPeers = 4
 
-// push sends new records to random peers. forward asks them to do the same
-// once.
+// announce tells random peers of this node's revision; those that are behind
+// pull. Each node does it once per batch of records that it applied, so that
+// news spreads by itself and not only with the next membership messages, and
+// each record travels to a node about once.
+func (d *Distributor) announce() {
+	d.push(nil, false)
+}
+
+// push sends new records to random peers. forward asks them to send the records
+// on once more; after that, nodes only announce.
 func (d *Distributor) push(records []lagoonbarrow.ContractRecord, forward bool) {
 	revision, age, _ := d.Gossip()
 	message, err := encodeMessage(KindPush, pushMessage{
@@ -101,8 +109,11 @@
 	if known {
 		d.Observe(sender, push.Revision, push.Age, true)
 	}
-	if len(applied) > 0 && push.Forward {
+	switch {
+	case len(applied) > 0 && push.Forward:
 		d.push(applied, false)
+	case len(applied) > 0:
+		d.announce()
 	}
 	return encodeMessage(KindPush, d.Status())
 }
