Tell this node's own full queue from an unreachable instance

Cause: a call that found no free connection was taken for an unreachable instance, which was then avoided and probed although it was well. Change: the caller answers shed and leaves the instance's record alone. Result: go test ./internal/request/... passes.

--- a/internal/request/call/caller.go
+++ b/internal/request/call/caller.go
@@ -171,7 +171,7 @@
 	}
 	if errors.Is(err, lagoonbarrow.ErrNotSent) {
 		a.account.Return(sent.Tokens)
-		return lagoonbarrow.Refuse(sent.ID, lagoonbarrow.ReasonUnreachable)
+		return lagoonbarrow.Refuse(sent.ID, notSentReason(ctx, err))
 	}
 	if sent.Attempt != "" {
 		return a.voidAttempt(ctx, sent)
@@ -184,6 +184,19 @@
 	return answer
 }
 
+// notSentReason tells a full queue of this node from an instance that can't be
+// reached.
+func notSentReason(ctx context.Context, err error) lagoonbarrow.Reason {
+	switch {
+	case errors.Is(err, lagoonbarrow.ErrShed):
+		return lagoonbarrow.ReasonShed
+	case ctx.Err() != nil:
+		return lagoonbarrow.ReasonDeadline
+	default:
+		return lagoonbarrow.ReasonUnreachable
+	}
+}
+
 // again decides whether another attempt is made, and pays for it.
 func (a *attempts) again(ctx context.Context, answer *lagoonbarrow.Answer) bool {
 	if answer.Outcome == lagoonbarrow.OutcomeUnknown {
@@ -255,7 +268,7 @@
 		c.config.Clock.Observe(answer.Stamp)
 	}
 	ended(observation)
-	if err != nil && ctx.Err() == nil && c.config.Unreachable != nil {
+	if observation.Failed && err != nil && c.config.Unreachable != nil {
 		c.config.Unreachable(instance.ID)
 	}
 	return answer, err
@@ -272,7 +285,7 @@
 // cancelled attempt and a refusal for overload do not.
 func failedInstance(ctx context.Context, answer *lagoonbarrow.Answer, err error) bool {
 	if err != nil {
-		return ctx.Err() == nil
+		return ctx.Err() == nil && !errors.Is(err, lagoonbarrow.ErrShed)
 	}
 	if answer.Outcome == lagoonbarrow.OutcomeDone {
 		return false
