Return the limit to the slots within a second after load ends

Cause: when load ends, the last answers are the slow ones, so the latency looked inflated; without further calls the verdict held the limit at 0.9 of the slots for 2 s (seen in a trial with real time). Change: the limit is not lowered while less than half of it is in use, and a verdict counts for 1 s.

--- a/internal/process/admission/latency.go
+++ b/internal/process/admission/latency.go
@@ -20,7 +20,7 @@
 	// leastEstimateTime bounds the rate that is computed from a burst of calls.
 	leastEstimateTime = 10 * time.Millisecond
 	// verdictAge is how long a verdict counts.
-	verdictAge = 2 * time.Second
+	verdictAge = time.Second
 	// errorFactor is the number of standard errors that are allowed for.
 	errorFactor = 2
 )
--- a/internal/process/admission/limiter.go
+++ b/internal/process/admission/limiter.go
@@ -129,11 +129,12 @@
 	}
 }
 
-// close ends a window and adapts the limit.
+// close ends a window and adapts the limit. With less than half of it in use,
+// latency can't be lowered by it; when load ends, the last answers are slow ones.
 func (l *limiter) close(now time.Time, table *operations, running int) {
 	found := table.evidence(now)
 	switch {
-	case found.overloaded():
+	case found.overloaded() && 2*running >= l.limit:
 		l.shrink(found, table)
 	case l.served == 0 && running > 0:
 		l.reason = reasonNoAnswers
@@ -165,9 +166,9 @@
 	}
 }
 
-// shrink lowers the limit, unless that has proved useless or less than half of
-// it is in use: then the latency has another cause than concurrency and becomes the new
-// baseline. So a lasting slowdown can't drive the limit down and keep it there.
+// shrink lowers the limit, unless that has proved useless: then the latency has
+// another cause than concurrency and becomes the new baseline. So a lasting
+// slowdown can't drive the limit down and keep it there.
 func (l *limiter) shrink(found evidence, table *operations) {
 	l.reason = reasonLatency
 	if !found.fresh {
@@ -178,7 +179,7 @@
 		l.trialInflation = found.inflation
 	}
 	lowest := min(minLimit, l.slots)
-	if l.limit <= lowest || 2*l.peak < l.limit || l.trialFailed(found) {
+	if l.limit <= lowest || l.trialFailed(found) {
 		table.adoptInflated()
 		l.trialLimit = 0
 		l.reason = reasonNotFollowing
