Count admitted and abandoned calls in the metrics

Cause: calls whose caller went away while they were queued were missing from the expired counter, and the scrape page showed no admitted calls. Change: both are counted by importance.

--- a/internal/process/admission/gate.go
+++ b/internal/process/admission/gate.go
@@ -187,6 +187,7 @@
 	}
 	w.lane.queue.remove(w)
 	g.counts.expired[w.level()]++
+	g.metrics.expired[w.level()].Inc(1)
 	return true
 }
 
@@ -379,6 +380,7 @@
 	w.lane.runningBy[level].push(granted)
 	g.limiter.peak = max(g.limiter.peak, g.running)
 	g.counts.admitted[level]++
+	g.metrics.admitted[level].Inc(1)
 	g.metrics.queueDelay(w.lane).RecordDuration(now.Sub(w.since))
 	w.settle(granted, nil)
 }
--- a/internal/process/admission/report.go
+++ b/internal/process/admission/report.go
@@ -39,6 +39,7 @@
 	shortDelay  tally.Histogram
 	longDelay   tally.Histogram
 	serviceTime tally.Histogram
+	admitted    [levels]tally.Counter
 	shed        [levels]tally.Counter
 	expired     [levels]tally.Counter
 	preempted   [levels]tally.Counter
@@ -57,6 +58,7 @@
 	}
 	for level, name := range levelNames {
 		tagged := scope.Tagged(map[string]string{"importance": name})
+		made.admitted[level] = tagged.Counter("admitted")
 		made.shed[level] = tagged.Counter("shed")
 		made.expired[level] = tagged.Counter("expired")
 		made.preempted[level] = tagged.Counter("preempted")
