--- a/internal/request/entry/server.go
+++ b/internal/request/entry/server.go
@@ -51,12 +51,26 @@
 			DisablePreParseMultipartForm: true,
 			NoDefaultServerHeader:        true,
 			Logger:                       silent{},
+			ErrorHandler:                 refuseUnread,
 		},
 		watcher: newDisconnects(),
 		failed:  make(chan error, 1),
 	}
 }
 
+// refuseUnread answers requests that could not be read. None of them was run.
+func refuseUnread(http *fasthttp.RequestCtx, err error) {
+	var header *fasthttp.ErrSmallBuffer
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		writeError(http, fasthttp.StatusRequestEntityTooLarge, "the body is too large")
+	case errors.As(err, &header):
+		writeError(http, fasthttp.StatusRequestHeaderFieldsTooLarge, "the header is too large")
+	default:
+		writeError(http, fasthttp.StatusBadRequest, "the request is not valid HTTP")
+	}
+}
+
 // silent drops fasthttp's own log lines, which repeat what clients did wrong.
 type silent struct{}
 
