Repeat safe calls whose instance froze, without waiting for the deadline

Cause: calls in flight to a frozen node waited for their deadline of 3 s, and the caller heard 504 although three other instances could serve it. Ruled out: routing (no new calls went there after the first failed probe). Change: an instance that gave no answer for 300 ms is probed out of turn; when the roster suspects it, the attempts that wait there end and are repeated elsewhere for a token. A slow instance answers its probes and keeps its calls; calls that are not safe keep waiting, because they are not repeated. Hedging by latency was not built: it adds work just when latency rises for overload.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -262,6 +262,7 @@
 		call.CallerConfig{
 			Self:         n.settings.Instance,
 			Transport:    n.transport,
+			Roster:       n.roster,
 			Router:       n.router,
 			Claims:       n.claims,
 			Recorder:     n.timeline,
@@ -359,6 +360,7 @@
 	}
 	n.distributor.Start()
 	n.quota.Start()
+	n.caller.Start()
 	n.startHealth()
 	return nil
 }
--- a/internal/process/node/stop.go
+++ b/internal/process/node/stop.go
@@ -58,6 +58,7 @@
 func (n *Node) stopParts(ctx context.Context) {
 	n.report("peer server", n.server.Stop(ctx))
 	n.report("local listener", n.local.Stop(ctx))
+	n.caller.Stop()
 	n.quota.Stop()
 	n.distributor.Stop()
 	n.roster.Stop()
--- a/internal/request/call/caller.go
+++ b/internal/request/call/caller.go
@@ -21,6 +21,7 @@
 type CallerConfig struct {
 	Self      lagoonbarrow.InstanceID
 	Transport lagoonbarrow.Transport
+	Roster    lagoonbarrow.Roster
 	Router    lagoonbarrow.Router
 	Claims    lagoonbarrow.Claims
 	Local     lagoonbarrow.CallHandler
@@ -39,6 +40,7 @@
 type Caller struct {
 	config  CallerConfig
 	tracker *tracker
+	silent  *silentWatch
 	sent    tally.Counter
 	retried tally.Counter
 }
@@ -50,11 +52,22 @@
 	return &Caller{
 		config:  config,
 		tracker: handler.tracker,
+		silent:  newSilentWatch(config.Roster, config.Unreachable),
 		sent:    config.Scope.Counter("calls-sent"),
 		retried: config.Scope.Counter("calls-retried"),
 	}
 }
 
+// Start begins to watch for instances that fall silent.
+func (c *Caller) Start() {
+	c.silent.start()
+}
+
+// Stop ends what Start began.
+func (c *Caller) Stop() {
+	c.silent.close()
+}
+
 // Do makes a call for an account and returns the final answer.
 func (c *Caller) Do(ctx context.Context, account lagoonbarrow.Account, call *lagoonbarrow.Call) *lagoonbarrow.Answer {
 	if c.config.Plain {
@@ -268,7 +281,7 @@
 		c.config.Clock.Observe(answer.Stamp)
 	}
 	ended(observation)
-	if observation.Failed && err != nil && c.config.Unreachable != nil {
+	if observation.Failed && err != nil {
 		c.config.Unreachable(instance.ID)
 	}
 	return answer, err
@@ -278,7 +291,14 @@
 	if instance.ID == c.config.Self {
 		return c.config.Local.HandleCall(ctx, call), nil
 	}
-	return c.config.Transport.Call(ctx, instance, call)
+	if !call.Safe() {
+		// An unsafe call is not repeated, and its answer may still come.
+		return c.config.Transport.Call(ctx, instance, call)
+	}
+	ctx, end := c.silent.begin(ctx, instance.ID)
+	answer, err := c.config.Transport.Call(ctx, instance, call)
+	end(err == nil)
+	return answer, err
 }
 
 // failedInstance reports whether an attempt speaks against the instance. A
