--- a/internal/process/quota/doc.go
+++ b/internal/process/quota/doc.go
@@ -2,8 +2,10 @@
 // entry nodes.
 //
 // Each customer has an owner among the nodes, chosen by rendezvous hashing.
-// Nodes with demand report it to the owner once a second and receive a share
-// of the rate, which is valid for 3 s after the report was sent. Without a
+// Nodes with demand report it to the owner once a second, and after 250 ms when
+// it has changed a lot. They receive a share of the rate, which is valid for 3 s
+// after the report was sent. A report gives up what the share exceeds the demand
+// by, so that the owner can hand it to others at once. Without a
 // valid share a node uses a floor, the rate divided by the live nodes. Demand is
 // reported by importance: the owner serves critical demand first, and a node
 // refuses deferrable requests first.
