Admit calls below the threshold to idle slots

Test: TestCriticalWorkIsAdmittedBesideLowerWork now fills the lane first, as an idle lane refuses no critical call.

--- a/internal/process/admission/gate.go
+++ b/internal/process/admission/gate.go
@@ -231,7 +231,7 @@
 	if w.critical() {
 		g.lastCritical = now
 	}
-	if reason := g.refusal(w); reason != "" {
+	if reason := g.refusal(w, now); reason != "" {
 		g.shed(w, reason)
 		return
 	}
@@ -253,17 +253,28 @@
 }
 
 // refusal returns why a call is refused at once, or an empty string.
-func (g *Gate) refusal(w *waiter) string {
+func (g *Gate) refusal(w *waiter, now time.Time) string {
 	if g.stopped {
 		return "stopping"
 	}
 	if g.config.Plain {
 		return ""
 	}
-	if !g.threshold(w.lane).Admits(w.work.Priority) {
-		return "threshold"
+	threshold := g.threshold(w.lane)
+	if threshold.Admits(w.work.Priority) || g.findsIdleSlot(w, threshold, now) {
+		return ""
+	}
+	return "threshold"
+}
+
+// findsIdleSlot reports whether a call below the threshold finds a slot that
+// nobody waits for. Refusing it would only waste the slot and what the call has cost upstream.
+// While critical work is shed, only critical work gets such slots.
+func (g *Gate) findsIdleSlot(w *waiter, threshold lagoonbarrow.Threshold, now time.Time) bool {
+	if threshold > lagoonbarrow.CriticalThreshold && !w.critical() {
+		return false
 	}
-	return ""
+	return w.lane.queue.length == 0 && g.mayRun(w, now)
 }
 
 // laneOf chooses the lane by the class's declaration and by measurement.
--- a/internal/process/admission/gate_test.go
+++ b/internal/process/admission/gate_test.go
@@ -148,6 +148,14 @@
 	gate, _ := warmGate(t, Config{Slots: 8})
 	gate.long.control.threshold = 255
 	long := lagoonbarrow.Work{Priority: critical, Long: true}
+	for range 2 {
+		if idle := ask(gate, long); idle.permit == nil {
+			t.Error("critical work refused beside an idle slot")
+		}
+	}
+	if lower := ask(gate, lagoonbarrow.Work{Priority: normal, Long: true}); lower.err == nil {
+		t.Error("lower work admitted while critical work is shed")
+	}
 	if refused := ask(gate, long); refused.err == nil {
 		t.Error("the threshold refuses nothing")
 	}
