Remove rows of instances that no running node remembers

Cause: rows were removed only for members that some node had seen die, so the rows of a fleet that failed as a whole would have stayed for ever, and each start would have tried them as seeds. A process restarted at the same address and id was noticed by its probe answer but its new record not asked for. Change: unknown instances with a row that don't answer in a heal round are kept as dead; an answer of another epoch leads to a request for the record. Conclusion: TestOrphanRowIsRemoved and TestQuickRestart pass, as do all tests of the package with -race.

--- a/internal/process/roster/maintain.go
+++ b/internal/process/roster/maintain.go
@@ -105,7 +105,7 @@
 		r.forget(time.Now())
 		r.probeDead(ctx)
 		if rand.Float64() < float64(seedFleet)/float64(max(r.table.size(), 1)) {
-			r.probeSeeds(ctx)
+			r.noteOrphans(r.probeSeeds(ctx))
 		}
 	}
 }
@@ -121,10 +121,11 @@
 }
 
 // probeSeeds reads some rows and probes the instances that are not live here.
-func (r *Roster) probeSeeds(ctx context.Context) {
+// It returns the unknown ones that did not answer.
+func (r *Roster) probeSeeds(ctx context.Context) (silent []record) {
 	seeds, err := r.seeds(ctx, defaultSeedRows)
 	if err != nil {
-		return
+		return nil
 	}
 	for _, seed := range seeds {
 		known, found := r.table.lookup(referenceOf(seed.ID))
@@ -136,8 +137,22 @@
 		})
 		if r.probeDirect(ctx, target) == nil {
 			r.exchangeDigests(ctx, seed)
+		} else if !found && ctx.Err() == nil {
+			silent = append(silent, target)
 		}
 	}
+	return silent
+}
+
+// noteOrphans keeps unknown instances that have a row but do not answer as
+// dead. They are probed again like other dead members, and their rows removed
+// like theirs; no node would remember them otherwise after a restart of the
+// fleet. The early rounds skip this, because rows may be of starting instances.
+func (r *Roster) noteOrphans(silent []record) {
+	for _, orphan := range silent {
+		orphan.Status.Verdict = verdictDead
+		r.applyRecord(newRecord(orphan.Instance, orphan.Status), fromJoin)
+	}
 }
 
 // forget removes records that were kept long enough.
--- a/internal/process/roster/probe.go
+++ b/internal/process/roster/probe.go
@@ -231,10 +231,11 @@
 	ref := referenceOf(target.ID)
 	r.heard(ref)
 	before := r.ownStatus()
-	if s, ok := ack.Sender.status(); ok {
-		r.applyStatus(ref, s, fromSelf)
-	}
 	unknown := r.takeNews(how, ack.News)
+	if s, ok := ack.Sender.status(); ok && !r.applyStatus(ref, s, fromSelf) {
+		// A new process at the same address; its record may differ.
+		unknown = append([]reference{ref}, unknown...)
+	}
 	r.gossipFrom(target, ack.Head, transit)
 	body := syncBody{
 		Want: unknown[:min(len(unknown), wantLimit)],
--- a/internal/process/roster/roster_test.go
+++ b/internal/process/roster/roster_test.go
@@ -358,3 +358,47 @@
 		}
 	})
 }
+
+// Guards against rows that stay for ever because no running node remembers the
+// instance, as after a failure of the whole fleet.
+func TestOrphanRowIsRemoved(t *testing.T) {
+	inBubble(t, func(f *fleet) {
+		f.tune = func(c *Config) { c.RowRemovalDelay = time.Minute }
+		f.table.rows["instances/instance-0009"] = lagoonbarrow.Row{
+			Table:   tableName,
+			Key:     "instance-0009",
+			Version: 1,
+			Value:   []byte(`{"id":"instance-0009","service":"service-1","zone":"zone-1","peer":"10.0.0.9:7000","incarnation":1048576}`),
+		}
+		f.addMany(4, 2)
+		f.eventually(time.Minute, "complete table", f.complete)
+		f.eventually(time.Hour, "row removed", func() bool {
+			return !f.table.has("instance-0009")
+		})
+		if !f.complete() {
+			t.Error("live members were lost")
+		}
+	})
+}
+
+// Guards against a restarted process at the same address whose new record the
+// others never ask for.
+func TestQuickRestart(t *testing.T) {
+	inBubble(t, func(f *fleet) {
+		f.addMany(8, 2)
+		f.eventually(time.Minute, "complete table", f.complete)
+		old := f.nodes[3]
+		f.kill(old)
+		changed := old.self
+		changed.Slots = 200
+		f.add(changed)
+		f.eventually(time.Minute, "new record everywhere", func() bool {
+			for _, n := range f.nodes {
+				if seen, _ := n.Lookup(old.self.ID); seen.Slots != 200 || seen.State != lagoonbarrow.StateReady {
+					return false
+				}
+			}
+			return true
+		})
+	})
+}
