Cut connections between nodes in the proofs

Cause: the proofs killed and froze nodes but did not cut connections. Change: a node's peer listener can be reached through a proxy that cuts all connections in the middle and refuses new ones; filings, contract changes, answers and leaving run with such cuts.

--- a/internal/history/answer_test.go
+++ b/internal/history/answer_test.go
@@ -24,6 +24,7 @@
 		f := startFleet(t, "", chain(3, 3, fleet.Service{
 			Slots:       30,
 			ServiceTime: 3 * time.Millisecond,
+			Cuttable:    true,
 		})...)
 		f.Apply(fleet.ContractFor("residents", fleet.APIKey))
 		stop := make(chan struct{})
@@ -100,7 +101,11 @@
 	end := time.Now().Add(duration)
 	for time.Now().Before(end) {
 		node := f.Nodes[random.IntN(len(f.Nodes))]
-		switch random.IntN(4) {
+		switch random.IntN(5) {
+		case 4:
+			node.Cut()
+			time.Sleep(300 * time.Millisecond)
+			node.Mend()
 		case 0:
 			node.Kill()
 			time.Sleep(100 * time.Millisecond)
--- a/internal/history/contract_test.go
+++ b/internal/history/contract_test.go
@@ -102,6 +102,7 @@
 		f := startFleet(t, "", chain(2, 4, fleet.Service{
 			Slots:       10,
 			ServiceTime: time.Millisecond,
+			Cuttable:    true,
 		})...)
 		var history operations
 		watch := f.watchVersions("residents")
@@ -222,7 +223,7 @@
 	end := time.Now().Add(duration)
 	for time.Now().Before(end) {
 		node := f.Nodes[random.IntN(len(f.Nodes))]
-		switch random.IntN(5) {
+		switch random.IntN(6) {
 		case 0:
 			node.Kill()
 			time.Sleep(200 * time.Millisecond)
@@ -242,6 +243,10 @@
 				Down: platform.DownRefuse,
 			})
 			time.Sleep(400 * time.Millisecond)
+		case 5:
+			node.Cut()
+			time.Sleep(time.Duration(200+random.IntN(1500)) * time.Millisecond)
+			node.Mend()
 		case 4:
 			f.Platform.SetFaults(platform.Faults{
 				DelayWrites:      lagoonbarrow.Duration(700 * time.Millisecond),
--- a/internal/history/filing_test.go
+++ b/internal/history/filing_test.go
@@ -34,13 +34,14 @@
 
 // Guards against filings that are doubled, refused as "not run" although they
 // ran, or answered with another filing's answer: the same keys are sent again
-// and again through several nodes while nodes are killed and frozen, and the
-// platform is down, slow, or loses answers after the write took effect.
+// and again through several nodes while nodes are killed, frozen and cut off, and
+// the platform is down, slow, or loses answers after the write took effect.
 func TestPropertyFilingsRunAtMostOnce(t *testing.T) {
 	forSeeds(t, 3, func(t *testing.T, random *rand.Rand) {
 		f := startFleet(t, "",
 			fleet.Service{
 				Name:        "minutes",
+				Cuttable:    true,
 				Instances:   4,
 				Slots:       20,
 				ServiceTime: 20 * time.Millisecond,
@@ -107,7 +108,7 @@
 	end := time.Now().Add(duration)
 	for time.Now().Before(end) {
 		node := entries[random.IntN(len(entries))]
-		switch random.IntN(6) {
+		switch random.IntN(7) {
 		case 0:
 			node.Kill()
 			time.Sleep(300 * time.Millisecond)
@@ -135,6 +136,10 @@
 				Seed:             random.Uint64(),
 			})
 			time.Sleep(800 * time.Millisecond)
+		case 6:
+			node.Cut()
+			time.Sleep(time.Duration(50+random.IntN(800)) * time.Millisecond)
+			node.Mend()
 		case 5:
 			for _, entry := range entries {
 				entry.Backend.Switch(func(s *backend.Switches) { s.Cut = 0.3 })
--- a/internal/history/stop_test.go
+++ b/internal/history/stop_test.go
@@ -46,22 +46,27 @@
 }
 
 // Guards against work that reaches an instance which is leaving, also from
-// peers that were frozen when it was announced.
+// peers that were frozen or cut off when it was announced.
 func TestPropertyLeavingReceivesNoWork(t *testing.T) {
 	forSeeds(t, 2, func(t *testing.T, random *rand.Rand) {
 		f := startFleet(t, "", chain(2, 4, fleet.Service{
 			Slots:       30,
 			ServiceTime: 20 * time.Millisecond,
+			Cuttable:    true,
 		})...)
 		f.Apply(fleet.ContractFor("residents", fleet.APIKey))
 		load := f.startLoad(random, 12)
 		time.Sleep(500 * time.Millisecond)
 		leaving := f.Of("hop2")[random.IntN(4)]
 		peer := f.Of("hop1")[random.IntN(4)]
+		cutOff := f.Of("hop1")[random.IntN(4)]
 		// The peer sleeps through the announcement and wakes with an old view.
 		load.avoid(peer)
 		time.Sleep(100 * time.Millisecond)
 		peer.Freeze()
+		// Another peer can't be told of it by anyone.
+		cutOff.Cut()
+		defer cutOff.Mend()
 		began := time.Now()
 		leaving.Signal(15)
 		time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -47,6 +47,8 @@
 	Downstream  []lagoonbarrow.ServiceName
 	Parallel    bool
 	Retries     int
+	// Cuttable puts a proxy before each node's peer listener, for Cut.
+	Cuttable bool
 }
 
 // Fleet is a platform, backend servers and nodes on loopback.
@@ -149,6 +151,14 @@
 		Address: backendAddress,
 		Zone:    fmt.Sprintf("zone-%c", 'a'+position%4),
 	}
+	if service.Cuttable {
+		node.Advertise = freePorts(f.TB, 1)[0]
+		node.cutter, err = newCutter(node.Advertise, node.Peer)
+		if err != nil {
+			f.TB.Fatal(err)
+		}
+		f.TB.Cleanup(node.cutter.close)
+	}
 	f.Nodes = append(f.Nodes, node)
 	node.Start()
 	return node
--- a/internal/standin/fleet/node.go
+++ b/internal/standin/fleet/node.go
@@ -33,6 +33,7 @@
 	Platform lagoonbarrow.Address
 	Admin    lagoonbarrow.Address
 
+	cutter *cutter
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	ended  chan struct{}
