Read a member's table again in the first seconds after a start

Cause: when many nodes start at once, their records pass by gossip, whose budget carries about three records a second; 100 nodes took 34.5 s to know each other, and the time grew with the fleet. Change: in the first 16 s a node reads the table of a random member six times, as a join does.

--- a/internal/process/roster/maintain.go
+++ b/internal/process/roster/maintain.go
@@ -91,6 +91,8 @@
 	time.Second,
 	2 * time.Second,
 	4 * time.Second,
+	4 * time.Second,
+	4 * time.Second,
 }
 
 // healLoop looks for members that this node lost sight of.
@@ -100,6 +102,7 @@
 			return
 		}
 		r.probeSeeds(ctx)
+		r.readAgain(ctx)
 	}
 	for sleep(ctx, jitter(r.config.HealInterval)) {
 		r.forget(time.Now())
@@ -110,6 +113,18 @@
 	}
 }
 
+// readAgain reads the table of a random member, as a join does. Nodes that start
+// at the same time learn of each other so without waiting for gossip, whose
+// budget passes on about three records a second.
+func (r *Roster) readAgain(ctx context.Context) {
+	peers := r.table.sample(1, func(m *member) bool {
+		return m.ref != r.selfRef && m.Status.live() && m.Status.Verdict == verdictAlive
+	})
+	if len(peers) == 1 {
+		r.joinThrough(ctx, peers[0].Instance)
+	}
+}
+
 // probeDead probes a random dead member. If it answers, the tables are
 // compared at once, because the member may belong to a part of the fleet that
 // was cut off.
--- a/internal/standin/fleet/client.go
+++ b/internal/standin/fleet/client.go
@@ -13,6 +13,9 @@
 	"lagoonbarrow"
 )
 
+// memberTime is added to StartTimeout for each node of a large fleet.
+const memberTime = 500 * time.Millisecond
+
 // Response is what a caller heard.
 type Response struct {
 	Status  int
@@ -137,7 +140,7 @@
 func (f *Fleet) AwaitMembers(count int) {
 	f.TB.Helper()
 	for _, node := range f.Nodes {
-		f.Await(node.Name+" knows all members", StartTimeout, func() bool {
+		f.Await(node.Name+" knows all members", StartTimeout+time.Duration(count)*memberTime, func() bool {
 			return node.Ready() && node.ReadyMembers() == count
 		})
 	}
