Stop the platform stand-in that has not begun to serve

A stop right after the start left the server running for ever, because fasthttp's shutdown does nothing before Serve has reached its listener. Tests that sent no request then hung in Stop: the client's tests hung in 1 of 4 runs on a loaded machine. The listener is now closed as well.

--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -45,6 +45,7 @@
 	reads    *limiter
 	counters counters
 	server   *fasthttp.Server
+	listener net.Listener
 	stopOnce sync.Once
 	stopErr  error
 	served   chan error
@@ -80,6 +81,7 @@
 	if err != nil {
 		return "", errors.Wrap(err, "platform stand-in: listen")
 	}
+	s.listener = listener
 	s.served = make(chan error, 1)
 	go func() {
 		s.served <- s.server.Serve(listener)
@@ -105,7 +107,11 @@
 func (s *Server) shutdown() error {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	if err := s.server.ShutdownWithContext(ctx); err != nil {
+	err := s.server.ShutdownWithContext(ctx)
+	// fasthttp's shutdown does nothing when Serve has not reached its listener
+	// yet, and Serve would then run for ever.
+	_ = s.listener.Close()
+	if err != nil {
 		return errors.Wrap(err, "platform stand-in: shut down")
 	}
 	return errors.Wrap(<-s.served, "platform stand-in: serve")
