--- /dev/null
+++ b/internal/request/claim/bench_test.go
@@ -0,0 +1,56 @@
+package claim
+
+import (
+	"context"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"lagoonbarrow"
+	client "lagoonbarrow/internal/process/platform"
+	standin "lagoonbarrow/internal/standin/platform"
+)
+
+// BenchmarkTakeAndComplete measures whole claims of distinct keys by 64 callers
+// for each processor against the stand-in.
+func BenchmarkTakeAndComplete(b *testing.B) {
+	server := standin.New(standin.Config{
+		Address: "127.0.0.1:0",
+	})
+	address, err := server.Start()
+	if err != nil {
+		b.Fatal(err)
+	}
+	table := client.New(client.Config{
+		Address: address,
+	})
+	claims := New(Config{
+		Table: table,
+		Self:  "node-1",
+	})
+	if err := claims.Start(); err != nil {
+		b.Fatal(err)
+	}
+	var next atomic.Int64
+	b.SetParallelism(64)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			id := strconv.FormatInt(next.Add(1), 10)
+			call := newCall(lagoonbarrow.AttemptID(id), 0)
+			call.Key = id
+			held, err := claims.Take(context.Background(), call, time.Now().Add(time.Minute))
+			if err == nil {
+				err = claims.Complete(context.Background(), held, done(201, "paid"))
+			}
+			if err != nil {
+				b.Error(err)
+				return
+			}
+		}
+	})
+	b.ReportMetric(float64(next.Load())/b.Elapsed().Seconds(), "claims/s")
+	_ = claims.Stop()
+	_ = table.Stop()
+	_ = server.Stop()
+}
