Keep the early table reads from overriding live members

Cause: the table reads in the first seconds after a start counted as a join's table. A replaced process that saw its successor in one raised its incarnation against it, and the two went on without end; a member that the peer held dead was dead here at once, without the suspicion time. Change: only a node that is not ready yet answers a later process of its own id with a higher incarnation; a join's claim that a known member is dead leads to a probe.

--- a/internal/process/roster/merge.go
+++ b/internal/process/roster/merge.go
@@ -44,7 +44,7 @@
 func (r *Roster) applyRecord(incoming record, how evidence) bool {
 	ref := referenceOf(incoming.Instance.ID)
 	if ref == r.selfRef {
-		r.hearOfSelf(incoming.Status, how)
+		r.hearOfSelf(incoming.Status)
 		return false
 	}
 	r.table.mutex.Lock()
@@ -103,7 +103,7 @@
 // applyStatus merges a status. known is false if the full record is missing.
 func (r *Roster) applyStatus(ref reference, incoming status, how evidence) (known bool) {
 	if ref == r.selfRef {
-		r.hearOfSelf(incoming, how)
+		r.hearOfSelf(incoming)
 		return true
 	}
 	r.table.mutex.Lock()
@@ -135,10 +135,11 @@
 }
 
 // clamp weakens a claim that a member is dead. Only this node's own suspicion
-// timer and the table of a join make a known member dead, so that the member
-// always has the suspicion time for its refutation. check asks for a probe.
+// timer makes a known member dead, so that the member always has the suspicion
+// time for its refutation. A table that is read in a join may come from a node
+// that was cut off, so it counts as a stranger's. check asks for a probe.
 func clamp(known, claim status, how evidence) (result status, check bool) {
-	if claim.Verdict != verdictDead || how == fromProbe || how == fromJoin {
+	if claim.Verdict != verdictDead || how == fromProbe {
 		return claim, false
 	}
 	if claim.compare(known) <= 0 {
@@ -147,15 +148,18 @@
 	if known.Verdict == verdictDead {
 		return claim, false
 	}
-	if how == fromStranger {
+	if how == fromStranger || how == fromJoin {
 		return known, true
 	}
 	claim.Verdict = verdictSuspect
 	return claim, false
 }
 
-// hearOfSelf answers a claim about this node with a higher incarnation.
-func (r *Roster) hearOfSelf(claim status, how evidence) {
+// hearOfSelf answers a claim about this node with a higher incarnation. A live
+// process with a later epoch has replaced this one. Only before this node is
+// ready can it be the trace of an earlier process, whose clock was ahead and
+// whose row is gone.
+func (r *Roster) hearOfSelf(claim status) {
 	r.table.mutex.Lock()
 	m := r.table.members[r.selfRef]
 	own := m.Status
@@ -164,7 +168,7 @@
 		return
 	}
 	later := epochOf(claim.Incarnation) > epochOf(own.Incarnation)
-	if later && claim.live() && how != fromJoin {
+	if later && claim.live() && r.ready.Load() {
 		r.superseded = true
 		r.table.mutex.Unlock()
 		r.config.Logger.Error("another process with this instance id has a later incarnation; no longer announcing this node")
--- a/internal/process/roster/probe.go
+++ b/internal/process/roster/probe.go
@@ -364,7 +364,7 @@
 		return nil, err
 	}
 	if claim, ok := body.Target.status(); ok && body.Target.Reference == r.selfRef {
-		r.hearOfSelf(claim, fromTrusted)
+		r.hearOfSelf(claim)
 	}
 	ack := r.takeProbe(from, &body)
 	ack.Sender = r.ownStatus()
