--- a/internal/request/call/caller.go
+++ b/internal/request/call/caller.go
@@ -41,6 +41,7 @@
 	config  CallerConfig
 	tracker *tracker
 	silent  *silentWatch
+	waits   *claimWaits
 	sent    tally.Counter
 	retried tally.Counter
 }
@@ -53,6 +54,7 @@
 		config:  config,
 		tracker: handler.tracker,
 		silent:  newSilentWatch(config.Roster, config.Unreachable),
+		waits:   newClaimWaits(config.Claims),
 		sent:    config.Scope.Counter("calls-sent"),
 		retried: config.Scope.Counter("calls-retried"),
 	}
