Bound the answers in the background queue of claims

4,096 completions of 64 KiB each could hold 256 MiB during an outage of the platform; a node has 32 MB for control. Beyond Config.QueueBytes (4 MiB) only the status and the marker are kept. The test of failed writes now also sees a request that is sent twice.

--- a/internal/process/platform/client_test.go
+++ b/internal/process/platform/client_test.go
@@ -67,6 +67,9 @@
 			server.SetFaults(standin.Faults{})
 			if c.written {
 				eventually(t, "all writes take effect", func() bool { return server.Stats().Writes == 3 })
+				if stats := server.Stats(); stats.Batches != 2 || stats.Conflicts != 0 {
+					t.Errorf("a request was repeated: %+v", stats)
+				}
 				return
 			}
 			_, err = client.Get(context.Background(), "claims", "put")
--- a/internal/request/claim/background.go
+++ b/internal/request/claim/background.go
@@ -46,8 +46,10 @@
 	// idle is closed when the last job ends after stopping was set.
 	idle chan struct{}
 
-	mutex    sync.Mutex
-	queue    dueHeap
+	mutex sync.Mutex
+	queue dueHeap
+	// bytes is the size of the answers in all jobs, running ones included.
+	bytes    int
 	running  int
 	stopping bool
 }
@@ -119,6 +121,7 @@
 	case len(b.queue)+b.running >= b.claims.config.QueueLength:
 		refused = "the background queue is full"
 	default:
+		b.reserve(added)
 		b.push(added, time.Time{})
 	}
 	b.mutex.Unlock()
@@ -129,6 +132,17 @@
 	b.signal()
 }
 
+// reserve counts the job's answer, and reduces it when there is no room for it.
+// The caller holds the lock.
+func (b *background) reserve(added *job) {
+	size := added.row.Answer.size()
+	if b.bytes+size > b.claims.config.QueueBytes {
+		added.row.Answer = added.row.Answer.reduced()
+		size = 0
+	}
+	b.bytes += size
+}
+
 // push queues a job. The caller holds the lock.
 func (b *background) push(added *job, due time.Time) {
 	heap.Push(&b.queue, dueJob{
@@ -196,7 +210,9 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.running--
-	if !done {
+	if done {
+		b.bytes -= current.row.Answer.size()
+	} else {
 		delay := b.claims.retryDelay(current.try)
 		current.try++
 		b.push(current, time.Now().Add(delay))
--- a/internal/request/claim/claims_test.go
+++ b/internal/request/claim/claims_test.go
@@ -438,6 +438,24 @@
 	}
 }
 
+// Guards against a queue of large answers that uses up the node's memory, and
+// against a completion that is lost because its answer has no room.
+func TestQueuedAnswersAreBounded(t *testing.T) {
+	claims := New(Config{
+		QueueBytes: 30,
+	})
+	for range 3 {
+		claims.background.add(claims.completeJob(lagoonbarrow.Claim{}, done(201, "paid in full")))
+	}
+	markers := ""
+	for _, item := range claims.background.queue {
+		markers += "|" + item.job.row.Answer.Marker
+	}
+	if claims.background.bytes > 30 || markers != "||"+AnswerTooLarge+"|"+AnswerTooLarge {
+		t.Errorf("%d bytes are queued, markers %s", claims.background.bytes, markers)
+	}
+}
+
 // Guards against two requests or two keys that look the same.
 func TestDigestsAndRowKeysAreDistinct(t *testing.T) {
 	first := newCall("a", 0)
--- a/internal/request/claim/config.go
+++ b/internal/request/claim/config.go
@@ -20,8 +20,9 @@
 
 // The values of HeaderAnswer.
 const (
-	// AnswerTooLarge: the answer was larger than Config.AnswerBytes. The
-	// status is the original one and the body is empty.
+	// AnswerTooLarge: the answer was larger than Config.AnswerBytes, or the
+	// background queue had no room for it. The status is the original one and
+	// the body is empty.
 	AnswerTooLarge = "too-large"
 	// AnswerSettled: an operator declared that the request ran. The status is
 	// 200 and the body is empty.
@@ -44,6 +45,9 @@
 	SettleMargin time.Duration
 	// QueueLength bounds the writes that continue in the background; default 4,096.
 	QueueLength int
+	// QueueBytes bounds the answers in these writes; beyond it only the status
+	// is kept. Default 4 MiB, an eighth of a node's memory for control.
+	QueueBytes int
 	// Workers bounds the background writes under way; default 8.
 	Workers int
 	// RetryDelay is the first delay between tries in the background; it
--- a/internal/request/claim/config_defaults.go
+++ b/internal/request/claim/config_defaults.go
@@ -12,6 +12,7 @@
 	defaultAnswerBytes     = 64 << 10
 	defaultSettleMargin    = 5 * time.Second
 	defaultQueueLength     = 4096
+	defaultQueueBytes      = 4 << 20
 	defaultWorkers         = 8
 	defaultRetryDelay      = 100 * time.Millisecond
 	defaultRetryDelayMax   = 2 * time.Second
@@ -40,6 +41,7 @@
 	c.StopTimeout = positiveDuration(c.StopTimeout, defaultStopTimeout)
 	c.AnswerBytes = positive(c.AnswerBytes, defaultAnswerBytes)
 	c.QueueLength = positive(c.QueueLength, defaultQueueLength)
+	c.QueueBytes = positive(c.QueueBytes, defaultQueueBytes)
 	c.Workers = positive(c.Workers, defaultWorkers)
 	if c.Now == nil {
 		c.Now = time.Now
--- a/internal/request/claim/row.go
+++ b/internal/request/claim/row.go
@@ -77,26 +77,42 @@
 // keep reduces an answer to what the row holds: all of it up to limit bytes of
 // header and body, otherwise the status and a marker.
 func keep(answer *lagoonbarrow.Answer, limit int) *keptAnswer {
-	size := len(answer.Body)
 	header := make([]keptHeader, 0, len(answer.Header))
 	for _, field := range answer.Header {
-		size += len(field.Name) + len(field.Value)
 		header = append(header, keptHeader{
 			Name:  field.Name,
 			Value: []byte(field.Value),
 		})
 	}
-	if size > limit {
-		return &keptAnswer{
-			Status: answer.Status,
-			Marker: AnswerTooLarge,
-		}
-	}
-	return &keptAnswer{
+	kept := &keptAnswer{
 		Status: answer.Status,
 		Header: header,
 		Body:   answer.Body,
 	}
+	if kept.size() > limit {
+		return kept.reduced()
+	}
+	return kept
+}
+
+// size is the number of header and body bytes.
+func (k *keptAnswer) size() int {
+	if k == nil {
+		return 0
+	}
+	size := len(k.Body)
+	for _, field := range k.Header {
+		size += len(field.Name) + len(field.Value)
+	}
+	return size
+}
+
+// reduced is the answer's status with the marker that the rest is not kept.
+func (k *keptAnswer) reduced() *keptAnswer {
+	return &keptAnswer{
+		Status: k.Status,
+		Marker: AnswerTooLarge,
+	}
 }
 
 // restore makes the answer that a repeat gets.
