Spend no token when there is no other instance to retry at

Cause: an attempt picked its instance after the token was spent. Once all instances had been tried, three redirects and all tokens went into attempts that were never sent, and the caller heard exhausted instead of the refusal of the instance that was asked.

Change: the instance of a retry is picked before the token is spent. Without one, the last answer stands.

--- a/internal/request/call/caller.go
+++ b/internal/request/call/caller.go
@@ -101,6 +101,8 @@
 	caller    *Caller
 	account   lagoonbarrow.Account
 	call      *lagoonbarrow.Call
+	// next is the instance for the next attempt.
+	next      lagoonbarrow.Instance
 	avoid     []lagoonbarrow.InstanceID
 	redirects int
 	// expected is the claim row's version for the next attempt.
@@ -116,6 +118,9 @@
 		call:     call,
 		expected: call.ExpectedRow,
 	}
+	if !loop.pick() {
+		return lagoonbarrow.Refuse(call.ID, lagoonbarrow.ReasonUnreachable)
+	}
 	for {
 		answer := loop.attempt(ctx)
 		if !loop.again(ctx, answer) {
@@ -124,6 +129,13 @@
 	}
 }
 
+// pick chooses the instance for the next attempt and reports whether there is one.
+func (a *attempts) pick() bool {
+	instance, err := a.caller.config.Router.Pick(a.call.Service, a.call.Key, a.avoid)
+	a.next = instance
+	return err == nil
+}
+
 // final corrects the outcome: a call is only "not run" if no attempt may have run.
 func (a *attempts) final(answer *lagoonbarrow.Answer) *lagoonbarrow.Answer {
 	if a.ranMaybe && answer.Outcome == lagoonbarrow.OutcomeNotRun {
@@ -138,10 +150,6 @@
 	if remaining <= 0 || ctx.Err() != nil {
 		return lagoonbarrow.Refuse(a.call.ID, lagoonbarrow.ReasonDeadline)
 	}
-	instance, err := a.caller.config.Router.Pick(a.call.Service, a.call.Key, a.avoid)
-	if err != nil {
-		return lagoonbarrow.Refuse(a.call.ID, lagoonbarrow.ReasonUnreachable)
-	}
 	sent := *a.call
 	sent.ID = lagoonbarrow.NewCallID()
 	sent.Remaining = remaining
@@ -153,8 +161,8 @@
 		// sends share an attempt id.
 		sent.Attempt = lagoonbarrow.NewAttemptID()
 	}
-	answer, err := a.caller.send(ctx, instance, &sent)
-	a.avoid = append(a.avoid, instance.ID)
+	answer, err := a.caller.send(ctx, a.next, &sent)
+	a.avoid = append(a.avoid, a.next.ID)
 	answer = a.settle(ctx, &sent, answer, err)
 	if sent.Attempt != "" && err == nil && answer.Reason == lagoonbarrow.ReasonClaimed {
 		return a.caller.awaitClaim(ctx, &sent, lagoonbarrow.Claim{
@@ -223,10 +231,6 @@
 	if answer.Outcome == lagoonbarrow.OutcomeUnknown && (!a.call.Safe() || a.call.Attempt != "") {
 		return false
 	}
-	if answer.Outcome == lagoonbarrow.OutcomeNotRun && redirected(answer.Reason) && a.redirects < freeRedirects {
-		a.redirects++
-		return true
-	}
 	if !retryable(answer.Reason) {
 		return false
 	}
@@ -234,6 +238,14 @@
 		a.expected = answer.RowVersion
 		a.avoid = nil
 	}
+	// Without another instance the answer stands and no token is spent.
+	if !a.pick() {
+		return false
+	}
+	if answer.Outcome == lagoonbarrow.OutcomeNotRun && redirected(answer.Reason) && a.redirects < freeRedirects {
+		a.redirects++
+		return true
+	}
 	if !a.account.Spend() {
 		answer.Reason = lagoonbarrow.ReasonExhausted
 		a.caller.record(event.RetryExhausted, a.call, "", "")
