Don't retry above a call that met overload below and was not run

Cause: a call whose own downstream call was shed or out of tokens was marked exhausted only with an unknown outcome. A backend server that answers not-run in this case had its call retried at each hop above, into the same overload. An unknown outcome also replaced the reasons deadline and cancelled. A callee could return the tokens of another call in flight, and answers carried the id of the last attempt rather than that of the call.

Change: a retryable answer without a run is marked exhausted too, other reasons stay. Returned tokens are bounded by those sent. The final answer carries the call's id.

--- a/internal/request/call/caller.go
+++ b/internal/request/call/caller.go
@@ -98,9 +98,9 @@
 
 // attempts is the retry loop of one call.
 type attempts struct {
-	caller    *Caller
-	account   lagoonbarrow.Account
-	call      *lagoonbarrow.Call
+	caller  *Caller
+	account lagoonbarrow.Account
+	call    *lagoonbarrow.Call
 	// next is the instance for the next attempt.
 	next      lagoonbarrow.Instance
 	avoid     []lagoonbarrow.InstanceID
@@ -136,8 +136,10 @@
 	return err == nil
 }
 
-// final corrects the outcome: a call is only "not run" if no attempt may have run.
+// final makes the last attempt's answer that of the call: a call is only "not
+// run" if no attempt may have run.
 func (a *attempts) final(answer *lagoonbarrow.Answer) *lagoonbarrow.Answer {
+	answer.Call = a.call.ID
 	if a.ranMaybe && answer.Outcome == lagoonbarrow.OutcomeNotRun {
 		answer.Outcome = lagoonbarrow.OutcomeUnknown
 	}
@@ -189,7 +191,8 @@
 // settle turns a lost answer into an outcome and gives back unused tokens.
 func (a *attempts) settle(ctx context.Context, sent *lagoonbarrow.Call, answer *lagoonbarrow.Answer, err error) *lagoonbarrow.Answer {
 	if err == nil {
-		a.account.Return(answer.TokensLeft)
+		// A callee gives back no more than it got, also while others hold shares.
+		a.account.Return(min(answer.TokensLeft, sent.Tokens))
 		return answer
 	}
 	if errors.Is(err, lagoonbarrow.ErrNotSent) {
--- a/internal/request/call/handler.go
+++ b/internal/request/call/handler.go
@@ -116,7 +116,8 @@
 	met := h.tracker.close(call.ID)
 	answer.TokensLeft = account.Close()
 	answer.Threshold = max(answer.Threshold, met.threshold)
-	if met.overloaded && answer.Outcome == lagoonbarrow.OutcomeUnknown {
+	if met.overloaded && answer.Outcome != lagoonbarrow.OutcomeDone && retryable(answer.Reason) {
+		// Another try would meet the same overload below.
 		answer.Reason = lagoonbarrow.ReasonExhausted
 	}
 	permit.Release(answer.Outcome == lagoonbarrow.OutcomeDone)
