Void a claim whose caller went away before the run

Cause: once the claim was taken, the call was run even if its caller had gone or its slot had passed to more important work during the claim write. A claim write that ended with the call's context was reported as a platform failure.

Change: after the claim is taken the context is checked again; if it has ended, the claim is voided and nothing runs. The refusal names the deadline, the cancellation or the preemption.

--- a/internal/request/call/handler.go
+++ b/internal/request/call/handler.go
@@ -170,9 +170,15 @@
 func (h *Handler) runOnce(ctx context.Context, call *lagoonbarrow.Call, deadline time.Time) *lagoonbarrow.Answer {
 	claim, err := h.config.Claims.Take(ctx, call, deadline)
 	if err != nil {
-		return h.notTaken(call, claim, err)
+		return h.notTaken(ctx, call, claim, err)
 	}
 	h.record(event.ClaimTaken, call, "")
+	if ctx.Err() != nil {
+		// Nothing was run yet, so the key is freed for the caller's next try.
+		answer := lagoonbarrow.Refuse(call.ID, endReason(ctx))
+		h.void(call, claim, answer)
+		return answer
+	}
 	// A claimed request is finished even if its caller goes away, because its
 	// outcome is kept for the caller's next try.
 	running, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
@@ -216,7 +222,7 @@
 }
 
 // notTaken answers a call whose key could not be claimed.
-func (h *Handler) notTaken(call *lagoonbarrow.Call, claim lagoonbarrow.Claim, err error) *lagoonbarrow.Answer {
+func (h *Handler) notTaken(ctx context.Context, call *lagoonbarrow.Call, claim lagoonbarrow.Claim, err error) *lagoonbarrow.Answer {
 	switch {
 	case errors.Is(err, lagoonbarrow.ErrMismatch):
 		return lagoonbarrow.Refuse(call.ID, lagoonbarrow.ReasonMismatch)
@@ -235,7 +241,22 @@
 		return lagoonbarrow.Refuse(call.ID, lagoonbarrow.ReasonDeadline)
 	default:
 		h.record(event.ClaimRefused, call, err.Error())
-		return lagoonbarrow.Refuse(call.ID, lagoonbarrow.ReasonPlatform)
+		return lagoonbarrow.Refuse(call.ID, endReason(ctx))
+	}
+}
+
+// endReason tells why a claim led to no run: the end of the call's context, or
+// else the platform.
+func endReason(ctx context.Context) lagoonbarrow.Reason {
+	switch {
+	case errors.Is(context.Cause(ctx), lagoonbarrow.ErrPreempted):
+		return lagoonbarrow.ReasonShed
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return lagoonbarrow.ReasonDeadline
+	case ctx.Err() != nil:
+		return lagoonbarrow.ReasonCancelled
+	default:
+		return lagoonbarrow.ReasonPlatform
 	}
 }
 
