Wait in the demo until every node knows all instances

Cause: the demo waited for the first node only, and its fixed ports lie in the range that the proofs draw theirs from. A node that does not know the next service refuses a call. Change: every node is asked for its members; the ports start at 31000; the node that accepts a contract change reads it at once (Accepted hook). The unused recorder of the administration API is removed.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -169,6 +169,7 @@
 	n.store = contract.NewStore(contract.StoreConfig{
 		Table:    n.platform,
 		Recorder: n.timeline,
+		Accepted: func() { n.distributor.Refresh() },
 	})
 	n.distributor = contract.NewDistributor(contract.Config{
 		Table:        n.platform,
--- a/internal/process/node/status.go
+++ b/internal/process/node/status.go
@@ -72,7 +72,6 @@
 		Events:      n.events,
 		Metrics:     n.metrics.Handler(),
 		Ready:       n.readiness,
-		Recorder:    n.timeline,
 		Logger:      n.logger.Named("admin"),
 	})
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -7,7 +7,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-port=${DEMO_PORT:-21000}
+port=${DEMO_PORT:-31000}
 keep=${1:-}
 work=$(mktemp -d)
 pids=()
@@ -123,8 +123,13 @@
 for admin in "${admins[@]}"; do
   wait_for 30 ready "$admin" || { fail "a node did not become ready"; exit 1; }
 done
-all_members() { [ "$(build/lagoonbarrow status | grep -c ready)" -eq 16 ]; }
-wait_for 20 all_members || fail "the first node does not know all 16 instances"
+# A node that does not know the next service yet would refuse the first calls.
+knows_all() {
+  [ "$(curl -sf -m 2 -H "Authorization: Bearer $LAGOONBARROW_TOKEN" "http://127.0.0.1:$1/v1/members" | grep -o '"state":"ready"' | wc -l)" -eq 16 ]
+}
+for admin in "${admins[@]}"; do
+  wait_for 30 knows_all "$admin" || fail "a node does not know all 16 instances"
+done
 pass "16 nodes are ready"
 
 for customer in residents dairies; do
