Copy a request's content only after it passed the entry checks

Cause: header and body were copied before quota and threshold were checked, so a refused request cost as much memory as its body.

Change: the content is copied once the request is accepted.

--- a/internal/request/entry/customer.go
+++ b/internal/request/entry/customer.go
@@ -115,7 +115,7 @@
 	text   string
 }
 
-// read authenticates the request and builds its root call.
+// read authenticates the request and builds its root call without the content.
 func (l *CustomerListener) read(http *fasthttp.RequestCtx) (*request, *problem) {
 	key, found := strings.CutPrefix(string(http.Request.Header.Peek(fasthttp.HeaderAuthorization)), "Bearer ")
 	if !found {
@@ -172,15 +172,19 @@
 		Service:    l.config.Service,
 		Method:     string(http.Method()),
 		Path:       pathWithQuery(http),
-		Header:     passedHeader(http, "authorization"),
-		Body:       bodyCopy(http),
-	}
-	if class.AtMostOnce {
-		root.Attempt = lagoonbarrow.NewAttemptID()
 	}
 	return root, nil
 }
 
+// fill copies the content into the root call, which refused requests are spared.
+func (r *request) fill(http *fasthttp.RequestCtx) {
+	r.root.Header = passedHeader(http, "authorization")
+	r.root.Body = bodyCopy(http)
+	if r.class.AtMostOnce {
+		r.root.Attempt = lagoonbarrow.NewAttemptID()
+	}
+}
+
 // requestKey returns the key under which the customer may re-send the request.
 func requestKey(http *fasthttp.RequestCtx, class lagoonbarrow.Class) (string, error) {
 	key := string(http.Request.Header.Peek(lagoonbarrow.HeaderIdempotencyKey))
@@ -227,6 +231,7 @@
 }
 
 func (l *CustomerListener) run(http *fasthttp.RequestCtx, accepted *request) {
+	accepted.fill(http)
 	l.accepted.Inc(1)
 	l.record(event.RequestAccepted, accepted, accepted.root.Method+" "+accepted.root.Path)
 	ctx, cancel := l.server.watcher.follow(http)
--- /dev/null
+++ b/internal/request/entry/refuse_test.go
@@ -0,0 +1,49 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"lagoonbarrow"
+)
+
+// BenchmarkRefuse measures the handler's part of a refused request with ten
+// headers and a body of 64 KiB.
+func BenchmarkRefuse(b *testing.B) {
+	cases := []struct {
+		name  string
+		parts fakeParts
+		level lagoonbarrow.Threshold
+	}{
+		{"quota", fakeParts{overQuota: true}, 0},
+		{"threshold", fakeParts{}, 256},
+		{"platform", fakeParts{platformDown: true}, 0},
+	}
+	var headers []string
+	for _, name := range []string{"Accept", "Accept-Language", "User-Agent", "X-A", "X-B", "X-C", "X-D", "X-E"} {
+		headers = append(headers, name, "some value of usual length")
+	}
+	headers = append(headers, "Idempotency-Key", "k-1")
+	for i := range cases {
+		b.Run(cases[i].name, func(b *testing.B) {
+			cases[i].parts.answer.Threshold = cases[i].level
+			listener := cases[i].parts.listener()
+			now := time.Now()
+			listener.thresholds.now = func() time.Time { return now }
+			request := newRequest("POST", "/orders/1", make([]byte, 64<<10), headers...)
+			for range 64 {
+				listener.thresholds.observe(classKey{
+					customer: "residents",
+					class:    "orders",
+				}, cases[i].level)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				listener.serve(request)
+			}
+			if request.Response.StatusCode() == 200 {
+				b.Fatal("the request was not refused")
+			}
+		})
+	}
+}
