Refuse paths that nodes and backend servers could read differently

Cause: the class was matched with the normalised path while the backend server got the path as it came. POST /orders/%2e%2e/browse/1 matched the class of /browse/ and could reach the handler of /orders/ without a claim. Paths in absolute form or with spaces were refused only at the backend server's node, as a retryable answer.

Change: the entry answers 400 when the decoded path differs from the normalised one, and both listeners answer 400 for method or path that can't be written as they came.

--- a/internal/request/entry/customer.go
+++ b/internal/request/entry/customer.go
@@ -131,6 +131,12 @@
 			text:   "unknown Bearer credential",
 		}
 	}
+	if err := checkLine(http); err != nil {
+		return nil, &problem{
+			status: fasthttp.StatusBadRequest,
+			text:   err.Error(),
+		}
+	}
 	class, err := l.config.Contracts.Match(record, string(http.Method()), string(http.Path()))
 	if err != nil {
 		return nil, &problem{
@@ -153,6 +159,14 @@
 	}, nil
 }
 
+// checkLine checks method and path.
+func checkLine(http *fasthttp.RequestCtx) error {
+	if err := checkTarget(http); err != nil {
+		return err
+	}
+	return checkPath(http)
+}
+
 func (l *CustomerListener) rootCall(http *fasthttp.RequestCtx, record lagoonbarrow.ContractRecord, class lagoonbarrow.Class) (*lagoonbarrow.Call, error) {
 	key, err := requestKey(http, class)
 	if err != nil {
--- a/internal/request/entry/local.go
+++ b/internal/request/entry/local.go
@@ -50,6 +50,10 @@
 		writeRefusal(http, "", lagoonbarrow.Refuse(parent, lagoonbarrow.ReasonUnknownCall))
 		return
 	}
+	if err := checkTarget(http); err != nil {
+		writeError(http, fasthttp.StatusBadRequest, err.Error())
+		return
+	}
 	call, found := downstreamCall(http, account.Call())
 	if !found {
 		writeError(http, fasthttp.StatusBadRequest, "the path must be /{service}/{path}")
