Bound the writing of answers and add no headers to them

Cause: a client that stopped reading held its connection and a graceful stop without bound. Answers without Content-Type got a default one, and an answer with Content-Length or another header of its connection would have been written with it; only the backend client removed those.

Change: writing an answer takes 30 s at most. The entry adds no Content-Type and drops the headers of one connection from answers too.

--- a/internal/request/entry/response.go
+++ b/internal/request/entry/response.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"math"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -29,8 +30,13 @@
 	}
 	response.Response.Reset()
 	response.SetStatusCode(answer.Status)
+	// An answer without Content-Type stays without one.
+	response.Response.Header.SetNoDefaultContentType(true)
 	for _, field := range answer.Header {
-		response.Response.Header.Add(field.Name, field.Value)
+		// Content-Length and the like are set anew for this connection.
+		if !hopHeaders[strings.ToLower(field.Name)] {
+			response.Response.Header.Add(field.Name, field.Value)
+		}
 	}
 	response.Response.Header.Set(lagoonbarrow.HeaderRequest, string(request))
 	response.Response.Header.Set(lagoonbarrow.HeaderOutcome, string(lagoonbarrow.OutcomeDone))
--- a/internal/request/entry/server.go
+++ b/internal/request/entry/server.go
@@ -16,6 +16,9 @@
 const (
 	// headTimeout bounds the time to read a request, against clients that send slowly.
 	headTimeout = 30 * time.Second
+	// answerTimeout bounds the time to write an answer, against clients that read
+	// slowly and would hold up a graceful stop. It doesn't include the call.
+	answerTimeout = 30 * time.Second
 	// idleTimeout closes unused connections.
 	idleTimeout = time.Minute
 )
@@ -46,6 +49,7 @@
 			ReadBufferSize:               limits.HeaderBytes,
 			Concurrency:                  limits.Connections,
 			ReadTimeout:                  headTimeout,
+			WriteTimeout:                 answerTimeout,
 			IdleTimeout:                  idleTimeout,
 			CloseOnShutdown:              true,
 			DisablePreParseMultipartForm: true,
