Measure the processor time of a call

Cause: CAPACITY.md needs the cost of a call apart from the cost of control. Change: call-cost takes the slope of the nodes' processor time over four rates.

--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -84,6 +84,10 @@
 		name: "control-cost",
 		run:  controlCost,
 	},
+	{
+		name: "call-cost",
+		run:  callCost,
+	},
 }
 
 // Run runs the measurements and prints the table.
--- a/internal/bench/control.go
+++ b/internal/bench/control.go
@@ -289,3 +289,77 @@
 		r.Fatal(err)
 	}
 }
+
+// callRates are the rates at which the cost of a call is measured.
+var callRates = []float64{100, 200, 400, 800}
+
+// callCost measures the processor time that nodes spend on a call: the slope
+// over the rate, which leaves out what an idle node spends.
+func callCost(r *runner) []Row {
+	services := []fleet.Service{
+		{
+			Name:        "minutes",
+			Instances:   4,
+			Slots:       70,
+			ServiceTime: 5 * time.Millisecond,
+			Downstream:  []lagoonbarrow.ServiceName{"registry"},
+		},
+		{
+			Name:        "registry",
+			Instances:   4,
+			Slots:       70,
+			ServiceTime: 5 * time.Millisecond,
+		},
+	}
+	var rates, shares []float64
+	r.measureFleet(false, services, func(f *fleet.Fleet) {
+		for _, rate := range callRates {
+			before := totals(r, f)
+			began := time.Now()
+			samples := load{
+				phases: []phase{
+					{
+						duration:  5 * time.Second,
+						perSecond: rate,
+					},
+				},
+				kinds: lookups,
+				seed:  r.config.Seed,
+			}.run(f)
+			after := totals(r, f)
+			share := (after.cpu - before.cpu).Seconds() / time.Since(began).Seconds()
+			// Each request is a call at either service.
+			calls := 2 * float64(len(samples)) / time.Since(began).Seconds()
+			rates = append(rates, calls)
+			shares = append(shares, share)
+			r.Logf("%.0f calls/s: %.1f %% of a core for all 8 nodes, resident %.1f MiB a node", calls, 100*share, after.resident/8/(1<<20))
+		}
+	})
+	perCall := slope(rates, shares)
+	return []Row{
+		{
+			Measure:  "processor time of the nodes for one call (slope over 200 to 1,600 calls/s)",
+			Baseline: "-",
+			Ours:     fmt.Sprintf("%.0f us", 1e6*perCall),
+			Target:   "no target; see CAPACITY.md",
+			Met:      true,
+		},
+	}
+}
+
+// slope is the least-squares slope of y over x.
+func slope(x, y []float64) float64 {
+	var sumX, sumY float64
+	for position := range x {
+		sumX += x[position]
+		sumY += y[position]
+	}
+	meanX := sumX / float64(len(x))
+	meanY := sumY / float64(len(x))
+	var up, down float64
+	for position := range x {
+		up += (x[position] - meanX) * (y[position] - meanY)
+		down += (x[position] - meanX) * (x[position] - meanX)
+	}
+	return up / down
+}
