Learn entry thresholds from few answers and let them fade sooner

Cause: the threshold of a class sank between its few answers while the overload went on, and a threshold above the class's own level took longer to fade without telling more. Answers that the caller made itself, such as after the deadline, counted as a threshold of 0. Classes of ended contracts stayed in the table.

Change: a threshold stays for 250 ms after an answer, is learned up to the top of its class's level, and only from answers of nodes. Faded classes are removed every 10 s.

--- a/internal/request/entry/customer.go
+++ b/internal/request/entry/customer.go
@@ -257,7 +257,11 @@
 	call := *accepted.root
 	call.Depth = 1
 	answer := l.config.Caller.Do(ctx, account, &call)
-	l.thresholds.observe(accepted.thresholdKey(), answer.Threshold)
+	// Only nodes stamp answers. One that the caller made itself, such as after the
+	// deadline, tells nothing about thresholds.
+	if answer.Stamp != (event.Stamp{}) {
+		l.thresholds.observe(accepted.thresholdKey(), min(answer.Threshold, highestThreshold(accepted.class.Importance())))
+	}
 	l.record(event.RequestEnded, accepted, string(answer.Outcome)+" "+string(answer.Reason))
 	writeAnswer(http, accepted.root.Request, answer)
 }
--- a/internal/request/entry/refuse_test.go
+++ b/internal/request/entry/refuse_test.go
@@ -27,6 +27,7 @@
 	for i := range cases {
 		b.Run(cases[i].name, func(b *testing.B) {
 			cases[i].parts.answer.Threshold = cases[i].level
+			cases[i].parts.answer.Stamp.Wall = 1
 			listener := cases[i].parts.listener()
 			now := time.Now()
 			listener.thresholds.now = func() time.Time { return now }
--- a/internal/request/entry/threshold.go
+++ b/internal/request/entry/threshold.go
@@ -9,6 +9,10 @@
 )
 
 const (
+	// thresholdHold is how long a threshold stays after an answer. Without it the
+	// threshold sinks between the few answers of a class that is refused, and in
+	// a simulation 27 instead of 8 of 100 requests/s passed at a full overload.
+	thresholdHold = 250 * time.Millisecond
 	// thresholdHalfLife is how fast a threshold fades without answers.
 	thresholdHalfLife = time.Second
 	// thresholdGain is the weight of one answer's threshold, so that one
@@ -17,6 +21,8 @@
 	// probeInterval lets one in so many refused requests through, so that the
 	// entry notices when the overload below has ended.
 	probeInterval = 64
+	// pruneInterval is the time between removals of classes without a threshold.
+	pruneInterval = 10 * time.Second
 )
 
 // thresholds remembers the thresholds met below, by class. Its lock is never
@@ -24,6 +30,7 @@
 type thresholds struct {
 	mu      sync.Mutex
 	classes map[classKey]*classThreshold
+	pruned  time.Time
 	now     func() time.Time
 }
 
@@ -33,8 +40,9 @@
 }
 
 type classThreshold struct {
-	level   float64
-	at      time.Time
+	level float64
+	// faded is up to when the level has faded.
+	faded   time.Time
 	refused uint64
 }
 
@@ -45,6 +53,13 @@
 	}
 }
 
+// highestThreshold is the lowest threshold that refuses a whole level of
+// importance. A higher one would only take longer to fade.
+func highestThreshold(level lagoonbarrow.Importance) lagoonbarrow.Threshold {
+	const lastInLevel = math.MaxUint64
+	return lagoonbarrow.Threshold(lagoonbarrow.NewPriority(level, lastInLevel)) + 1
+}
+
 // admits reports whether a request passes the threshold of its class.
 func (t *thresholds) admits(key classKey, priority lagoonbarrow.Priority) bool {
 	t.mu.Lock()
@@ -70,18 +85,36 @@
 		if threshold == 0 {
 			return
 		}
+		t.prune()
 		current = &classThreshold{
-			at: t.now(),
+			faded: t.now(),
 		}
 		t.classes[key] = current
 	}
 	t.fade(current)
+	current.faded = t.now().Add(thresholdHold)
 	current.level += thresholdGain * (float64(threshold) - current.level)
 	if current.level < 1 {
 		delete(t.classes, key)
 	}
 }
 
+// prune removes classes whose threshold has faded, such as those of contracts
+// that have ended. The caller holds the lock.
+func (t *thresholds) prune() {
+	now := t.now()
+	if now.Sub(t.pruned) < pruneInterval {
+		return
+	}
+	t.pruned = now
+	for key, current := range t.classes {
+		t.fade(current)
+		if current.level < 1 {
+			delete(t.classes, key)
+		}
+	}
+}
+
 // snapshot returns the thresholds in force, for the status page.
 func (t *thresholds) snapshot() map[string]lagoonbarrow.Threshold {
 	t.mu.Lock()
@@ -96,7 +129,10 @@
 
 func (t *thresholds) fade(current *classThreshold) {
 	now := t.now()
-	elapsed := now.Sub(current.at)
-	current.at = now
+	elapsed := now.Sub(current.faded)
+	if elapsed <= 0 {
+		return
+	}
+	current.faded = now
 	current.level *= math.Exp2(-elapsed.Seconds() / thresholdHalfLife.Seconds())
 }
