Send writes again that the platform refused with 429

A batch of 64 above its limit failed all 64 writes, so filings were refused although nothing was wrong, and a batch larger than what the limit leaves over could never pass. Refused batches are now sent again up to five times, after 50 to 150 ms, at half the size. The metrics no longer add a scope of their own, because the node already names the scope.

--- a/internal/process/platform/batch.go
+++ b/internal/process/platform/batch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -24,10 +25,22 @@
 	result chan putResult
 	// sent is set when the write became part of a batch.
 	sent bool
-	// withdrawn is set when the caller gave up before that.
+	// withdrawn is set when the caller gave up.
 	withdrawn bool
+	// limited counts the batches with this write that the platform refused
+	// with 429.
+	limited int
 }
 
+const (
+	// limitedTries bounds the batches that one write is part of while the
+	// platform answers 429.
+	limitedTries = 5
+	// limitedDelay is the mean wait after a 429; each is drawn from half of it
+	// to one and a half.
+	limitedDelay = 100 * time.Millisecond
+)
+
 type rowName struct {
 	table string
 	key   string
@@ -40,11 +53,17 @@
 	}
 }
 
-// batcher groups Puts: while one batch is under way, the next collects.
+// batcher groups Puts: while one batch is under way, the next collects. After a
+// 429, which means that nothing was written, it sends the writes again in
+// smaller batches: a large one may never fit into what the platform's limit
+// leaves over.
 type batcher struct {
 	client *Client
 
-	mutex   sync.Mutex
+	mutex sync.Mutex
+	// size is the present bound on a batch: it is halved by a 429 and grows by
+	// one with each answer, up to Config.BatchWrites.
+	size    int
 	queue   []*pendingPut
 	sending bool
 }
@@ -52,6 +71,7 @@
 func newBatcher(client *Client) *batcher {
 	return &batcher{
 		client: client,
+		size:   client.config.BatchWrites,
 	}
 }
 
@@ -103,11 +123,8 @@
 func (b *batcher) withdraw(pending *pendingPut) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if pending.sent {
-		return false
-	}
 	pending.withdrawn = true
-	return true
+	return !pending.sent
 }
 
 // sendAll sends batches until no write waits.
@@ -127,6 +144,41 @@
 	}
 }
 
+// again queues the writes of a batch that was refused with 429, before those
+// that wait, and waits a little. Writes that were refused too often end.
+func (b *batcher) again(batch []*pendingPut, refusal error) {
+	b.mutex.Lock()
+	b.size = max(b.size/2, 1)
+	var back, over []*pendingPut
+	for _, pending := range batch {
+		pending.limited++
+		if pending.limited == limitedTries {
+			over = append(over, pending)
+			continue
+		}
+		pending.sent = false
+		back = append(back, pending)
+	}
+	b.queue = append(back, b.queue...)
+	b.mutex.Unlock()
+	finish(over, putResult{
+		err: refusal,
+	})
+	timer := time.NewTimer(limitedDelay/2 + rand.N(limitedDelay))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-b.client.ctx.Done():
+	}
+}
+
+// grow raises the bound on a batch after an answer.
+func (b *batcher) grow() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.size = min(b.size+1, b.client.config.BatchWrites)
+}
+
 // more reports whether writes wait, and otherwise ends the sending.
 func (b *batcher) more() bool {
 	b.mutex.Lock()
@@ -169,7 +221,7 @@
 			continue
 		}
 		name := nameOf(pending.write)
-		full := len(batch) == b.client.config.BatchWrites
+		full := len(batch) == b.size
 		tooLarge := len(batch) > 0 && size+len(pending.write.Value) > b.client.config.BatchBytes
 		if full || tooLarge || rows[name] {
 			rest = append(rest, pending)
@@ -212,6 +264,11 @@
 		return decodeErr
 	})
 	b.client.metrics.write(began, len(writes))
+	if errors.Is(err, errLimited) {
+		b.again(batch, err)
+		return
+	}
+	b.grow()
 	if err != nil {
 		finish(batch, putResult{
 			err: err,
--- a/internal/process/platform/batch_test.go
+++ b/internal/process/platform/batch_test.go
@@ -98,6 +98,46 @@
 	}
 }
 
+// Guards against failed writes while the platform only asks for fewer at a
+// time, and against a batch that is too large for its limit for ever.
+func TestLimitedWritesAreSentAgain(t *testing.T) {
+	server := standin.New(standin.Config{
+		Address:         "127.0.0.1:0",
+		WritesPerSecond: 40,
+	})
+	address, err := server.Start()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = server.Stop() }()
+	client := New(Config{
+		Address: address,
+	})
+	defer func() { _ = client.Stop() }()
+	client.batcher.queue = queued(manyWrites(50)...)
+	all := client.batcher.queue
+	if err := put(client, "last", 0); err != nil {
+		t.Fatal(err)
+	}
+	for _, pending := range all {
+		if got := <-pending.result; got.err != nil {
+			t.Fatal(got.err)
+		}
+	}
+	stats := server.Stats()
+	if stats.Refused == 0 || stats.Writes != 51 || stats.Conflicts != 0 {
+		t.Errorf("counts are %+v", stats)
+	}
+}
+
+func manyWrites(count int) []lagoonbarrow.Write {
+	var writes []lagoonbarrow.Write
+	for i := range count {
+		writes = append(writes, newWrite(fmt.Sprint(i), 0))
+	}
+	return writes
+}
+
 // Guards against increments of one row that are lost or counted twice when they
 // wait for the same batch.
 func TestSameRowKeepsItsOrder(t *testing.T) {
--- a/internal/process/platform/exchange.go
+++ b/internal/process/platform/exchange.go
@@ -109,12 +109,15 @@
 	return errors.Wrapf(lagoonbarrow.ErrOutcomeUnknown, "platform: %v", err)
 }
 
+// errLimited is the ErrUnavailable of an answer with status 429.
+var errLimited = errors.Wrap(lagoonbarrow.ErrUnavailable, "platform: request limit reached")
+
 // classifyStatus judges an answer by its status alone. 404, 409 and 412 are
 // results that the caller reads.
 func classifyStatus(status int) (verdict, error) {
 	switch {
 	case status == fasthttp.StatusTooManyRequests:
-		return limited, errors.Wrap(lagoonbarrow.ErrUnavailable, "platform: request limit reached")
+		return limited, errLimited
 	case status == fasthttp.StatusServiceUnavailable:
 		return failed, errors.Wrap(lagoonbarrow.ErrUnavailable, "platform: status 503")
 	case status >= fasthttp.StatusInternalServerError:
--- a/internal/process/platform/metrics.go
+++ b/internal/process/platform/metrics.go
@@ -14,7 +14,7 @@
 	batchBuckets = 7
 )
 
-// metrics are the client's tally metrics, below the scope "platform".
+// metrics are the client's tally metrics.
 type metrics struct {
 	reads        tally.Counter
 	writes       tally.Counter
@@ -28,7 +28,6 @@
 }
 
 func newMetrics(scope tally.Scope) *metrics {
-	scope = scope.SubScope("platform")
 	latency := tally.MustMakeExponentialDurationBuckets(firstLatencyBucket, 2, latencyBuckets)
 	m := &metrics{
 		reads:        scope.Counter("reads"),
--- a/internal/request/claim/record.go
+++ b/internal/request/claim/record.go
@@ -8,7 +8,7 @@
 	"lagoonbarrow/pkg/event"
 )
 
-// metrics are the tally metrics, below the scope "claim".
+// metrics are the tally metrics.
 type metrics struct {
 	taken     tally.Counter
 	refused   tally.Counter
@@ -20,7 +20,6 @@
 }
 
 func newMetrics(scope tally.Scope) *metrics {
-	scope = scope.SubScope("claim")
 	return &metrics{
 		taken:     scope.Counter("taken"),
 		refused:   scope.Counter("refused"),
