End a join when nothing new comes

Cause: buckets in which only the reading node's records are newer keep differing, so a read of a seed's table could repeat 64 answers of 128 KB. Change: a join ends with a round that changes nothing, and after 24 rounds.

--- a/internal/process/roster/register.go
+++ b/internal/process/roster/register.go
@@ -26,7 +26,7 @@
 	// syncTimeout bounds one request of a digest exchange or a join.
 	syncTimeout = 2 * time.Second
 	// joinRounds bounds the answers read from one seed. 7,800 records take 7.
-	joinRounds = 64
+	joinRounds = 24
 	// joinAttempts is how often all seeds are tried before this node goes on
 	// alone; the rows may all be left over from instances that failed.
 	joinAttempts = 3
@@ -181,7 +181,8 @@
 	r.config.Logger.Warn("no registered instance answered; going on alone")
 }
 
-// joinThrough reads a seed's whole table.
+// joinThrough reads a seed's whole table. It ends when a round brings nothing
+// new: buckets in which only this node's records are newer keep differing.
 func (r *Roster) joinThrough(ctx context.Context, seed lagoonbarrow.Instance) bool {
 	for range joinRounds {
 		own, _ := r.table.lookup(r.selfRef)
@@ -189,8 +190,9 @@
 		if err != nil {
 			return false
 		}
+		before := r.table.version.Load()
 		r.takeSync(fromJoin, answer)
-		if !answer.More {
+		if !answer.More || r.table.version.Load() == before {
 			return true
 		}
 	}
--- a/internal/process/roster/sync_test.go
+++ b/internal/process/roster/sync_test.go
@@ -13,10 +13,13 @@
 	self    lagoonbarrow.InstanceID
 	other   *Roster
 	largest int
+	// messages counts the requests.
+	messages int
 }
 
 func (l *linkTransport) Send(ctx context.Context, _ lagoonbarrow.Address, message lagoonbarrow.Message) (lagoonbarrow.Message, error) {
 	reply, err := l.other.HandleMessage(ctx, l.self, message)
+	l.messages++
 	l.largest = max(l.largest, len(message.Body), len(reply.Body))
 	return reply, err
 }
@@ -61,3 +64,37 @@
 	}
 	t.Logf("equal after %d exchanges, largest message %d bytes", rounds, link.largest)
 }
+
+// Guards against a join that misses part of a large table, that sends messages
+// over the frame limit, or that reads on when nothing new comes.
+func TestJoinReadsLargeTable(t *testing.T) {
+	joiner, seed := offline(t), offlineAs(t, testInstance(1, 5))
+	for i := 2; i < benchFleet; i++ {
+		known, _ := fromWire(sampleRecord(i))
+		seed.applyRecord(known, fromTrusted)
+	}
+	link := &linkTransport{
+		self:  joiner.config.Self.ID,
+		other: seed,
+	}
+	joiner.config.Transport = link
+	if !joiner.joinThrough(t.Context(), testInstance(1, 5)) {
+		t.Fatal("the seed did not answer")
+	}
+	if joiner.table.hashes != seed.table.hashes {
+		t.Errorf("%d of %d members after the join", joiner.table.size(), seed.table.size())
+	}
+	if link.largest > maxBodyBytes {
+		t.Errorf("a message of %d bytes", link.largest)
+	}
+	known, _ := fromWire(sampleRecord(2))
+	for i := range buckets * 4 {
+		known.Instance.ID = testInstance(benchFleet+i, 5).ID
+		joiner.applyRecord(known, fromTrusted)
+	}
+	link.messages = 0
+	joiner.joinThrough(t.Context(), testInstance(1, 5))
+	if link.messages > 1 {
+		t.Errorf("%d messages without anything new", link.messages)
+	}
+}
