Share the faults of the proofs

Cause: three proofs each had their own list of the same faults. Change: one table of faults; each proof names the groups it uses, so that filings and contract changes now see the same platform faults.

--- a/internal/history/answer_test.go
+++ b/internal/history/answer_test.go
@@ -45,7 +45,7 @@
 				}
 			}()
 		}
-		f.disturbAnswers(random, 5*time.Second)
+		f.disturb(random, 5*time.Second, f.Nodes, nodeFaults, backendFaults)
 		close(stop)
 		callers.Wait()
 		t.Logf("%d whole answers, %d refusals, %d callers went away or lost their node", whole.Load(), refused.Load(), aborted.Load())
@@ -96,39 +96,3 @@
 		f.t.Errorf("%s: the header names request %s, the body %s", path, answer.Request, body.Request)
 	}
 }
-
-func (f *testFleet) disturbAnswers(random *rand.Rand, duration time.Duration) {
-	end := time.Now().Add(duration)
-	for time.Now().Before(end) {
-		node := f.Nodes[random.IntN(len(f.Nodes))]
-		switch random.IntN(5) {
-		case 4:
-			node.Cut()
-			time.Sleep(300 * time.Millisecond)
-			node.Mend()
-		case 0:
-			node.Kill()
-			time.Sleep(100 * time.Millisecond)
-			node.Start()
-		case 1:
-			node.Freeze()
-			time.Sleep(time.Duration(100+random.IntN(1200)) * time.Millisecond)
-			node.Thaw()
-		case 2:
-			f.switchAll(func(s *backend.Switches) { s.Cut = 0.3 })
-			time.Sleep(400 * time.Millisecond)
-			f.switchAll(func(s *backend.Switches) { s.Cut = 0 })
-		case 3:
-			f.switchAll(func(s *backend.Switches) { s.Slow = 30 })
-			time.Sleep(400 * time.Millisecond)
-			f.switchAll(func(s *backend.Switches) { s.Slow = 0 })
-		}
-		time.Sleep(time.Duration(random.IntN(200)) * time.Millisecond)
-	}
-}
-
-func (f *testFleet) switchAll(change func(*backend.Switches)) {
-	for _, node := range f.Nodes {
-		node.Backend.Switch(change)
-	}
-}
--- a/internal/history/contract_test.go
+++ b/internal/history/contract_test.go
@@ -14,7 +14,6 @@
 
 	"lagoonbarrow"
 	"lagoonbarrow/internal/standin/fleet"
-	"lagoonbarrow/internal/standin/platform"
 )
 
 // inForceLimit is the users' bound from acceptance to in force everywhere.
@@ -117,7 +116,7 @@
 				f.operate(stop, picks, operator, started, &history)
 			}()
 		}
-		f.disturbControl(random, 6*time.Second)
+		f.disturb(random, 6*time.Second, f.Nodes, nodeFaults, platformFaults)
 		close(stop)
 		operators.Wait()
 		f.checkLastChange(&history)
@@ -218,48 +217,6 @@
 	})
 }
 
-// disturbControl injects faults into nodes and the platform.
-func (f *testFleet) disturbControl(random *rand.Rand, duration time.Duration) {
-	end := time.Now().Add(duration)
-	for time.Now().Before(end) {
-		node := f.Nodes[random.IntN(len(f.Nodes))]
-		switch random.IntN(6) {
-		case 0:
-			node.Kill()
-			time.Sleep(200 * time.Millisecond)
-			node.Start()
-		case 1:
-			node.Freeze()
-			time.Sleep(time.Duration(200+random.IntN(1500)) * time.Millisecond)
-			node.Thaw()
-		case 2:
-			f.Platform.SetFaults(platform.Faults{
-				LoseAnswers: 0.5,
-				Seed:        random.Uint64(),
-			})
-			time.Sleep(700 * time.Millisecond)
-		case 3:
-			f.Platform.SetFaults(platform.Faults{
-				Down: platform.DownRefuse,
-			})
-			time.Sleep(400 * time.Millisecond)
-		case 5:
-			node.Cut()
-			time.Sleep(time.Duration(200+random.IntN(1500)) * time.Millisecond)
-			node.Mend()
-		case 4:
-			f.Platform.SetFaults(platform.Faults{
-				DelayWrites:      lagoonbarrow.Duration(700 * time.Millisecond),
-				DelayProbability: 0.5,
-				Seed:             random.Uint64(),
-			})
-			time.Sleep(700 * time.Millisecond)
-		}
-		f.Platform.SetFaults(platform.Faults{})
-		time.Sleep(time.Duration(random.IntN(300)) * time.Millisecond)
-	}
-}
-
 // versionWatch reads the version in force on every node and checks that it
 // never falls.
 type versionWatch struct {
--- a/internal/history/filing_test.go
+++ b/internal/history/filing_test.go
@@ -9,9 +9,7 @@
 	"time"
 
 	"lagoonbarrow"
-	"lagoonbarrow/internal/standin/backend"
 	"lagoonbarrow/internal/standin/fleet"
-	"lagoonbarrow/internal/standin/platform"
 )
 
 // filing is one try at a filing and what its caller heard.
@@ -66,7 +64,7 @@
 				f.fileUntil(stop, picks, &history)
 			}()
 		}
-		f.disturb(random, 6*time.Second)
+		f.disturb(random, 6*time.Second, f.Of("minutes"), nodeFaults, platformFaults, backendFaults)
 		close(stop)
 		callers.Wait()
 		f.settle()
@@ -102,58 +100,6 @@
 	}
 }
 
-// disturb injects faults for the given time.
-func (f *testFleet) disturb(random *rand.Rand, duration time.Duration) {
-	entries := f.Of("minutes")
-	end := time.Now().Add(duration)
-	for time.Now().Before(end) {
-		node := entries[random.IntN(len(entries))]
-		switch random.IntN(7) {
-		case 0:
-			node.Kill()
-			time.Sleep(300 * time.Millisecond)
-			node.Start()
-		case 1:
-			node.Freeze()
-			time.Sleep(time.Duration(200+random.IntN(3500)) * time.Millisecond)
-			node.Thaw()
-		case 2:
-			f.Platform.SetFaults(platform.Faults{
-				Down: platform.DownRefuse,
-			})
-			time.Sleep(400 * time.Millisecond)
-		case 3:
-			f.Platform.SetFaults(platform.Faults{
-				LoseAnswers: 0.4,
-				LoseReads:   0.2,
-				Seed:        random.Uint64(),
-			})
-			time.Sleep(800 * time.Millisecond)
-		case 4:
-			f.Platform.SetFaults(platform.Faults{
-				DelayWrites:      lagoonbarrow.Duration(900 * time.Millisecond),
-				DelayProbability: 0.4,
-				Seed:             random.Uint64(),
-			})
-			time.Sleep(800 * time.Millisecond)
-		case 6:
-			node.Cut()
-			time.Sleep(time.Duration(50+random.IntN(800)) * time.Millisecond)
-			node.Mend()
-		case 5:
-			for _, entry := range entries {
-				entry.Backend.Switch(func(s *backend.Switches) { s.Cut = 0.3 })
-			}
-			time.Sleep(400 * time.Millisecond)
-			for _, entry := range entries {
-				entry.Backend.Switch(func(s *backend.Switches) { s.Cut = 0 })
-			}
-		}
-		f.Platform.SetFaults(platform.Faults{})
-		time.Sleep(time.Duration(random.IntN(200)) * time.Millisecond)
-	}
-}
-
 // settle waits until runs that outlived their callers have ended.
 func (f *testFleet) settle() {
 	time.Sleep(3500 * time.Millisecond)
