Don't hold an oversized call or answer against the instance

Cause: the transport's ErrTooLarge says nothing about the peer, but counted as its failure: each try of one oversized call made routing avoid an instance and had it probed out of turn.

Change: ErrTooLarge is treated as ErrShed is.

--- a/internal/request/call/caller.go
+++ b/internal/request/call/caller.go
@@ -319,10 +319,11 @@
 }
 
 // failedInstance reports whether an attempt speaks against the instance. A
-// cancelled attempt and a refusal for overload do not.
+// cancelled attempt, a refusal for overload and a call or answer over the size
+// limit do not.
 func failedInstance(ctx context.Context, answer *lagoonbarrow.Answer, err error) bool {
 	if err != nil {
-		return ctx.Err() == nil && !errors.Is(err, lagoonbarrow.ErrShed)
+		return ctx.Err() == nil && !errors.Is(err, lagoonbarrow.ErrShed) && !errors.Is(err, lagoonbarrow.ErrTooLarge)
 	}
 	if answer.Outcome == lagoonbarrow.OutcomeDone {
 		return false
