Prove that an operator can settle the claim of a dead holder

Cause: a key whose holder died between claim and completion stays claimed. Change: a proof kills the holder while the backend server hangs; the caller hears unknown, another node does not run the filing, the claim can be settled only after its deadline and margin, and the filing runs then.

--- a/internal/history/filing_test.go
+++ b/internal/history/filing_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/standin/backend"
 	"lagoonbarrow/internal/standin/fleet"
 )
 
@@ -156,3 +159,88 @@
 	}
 	bodies[try.key] = string(answer.Body)
 }
+
+// Guards against a key that stays blocked after its holder died, and against an
+// operator who settles it while the holder may still run it.
+func TestOperatorSettlesClaimOfDeadHolder(t *testing.T) {
+	f := startFleet(t, "", chain(1, 2, fleet.Service{
+		Slots:       10,
+		ServiceTime: time.Millisecond,
+	})...)
+	f.Apply(fleet.ContractFor("residents", fleet.APIKey))
+	f.switchAll(func(s *backend.Switches) { s.Hang = true })
+	filing := fleet.Call{
+		Method: "POST",
+		Path:   "/filing/1",
+		Key:    "resolution-1",
+		Body:   "signed",
+	}
+	heard := make(chan fleet.Response, 1)
+	entry := f.Nodes[0]
+	go func() {
+		heard <- entry.Do(context.Background(), filing)
+	}()
+	holder := f.holderOf("resolution-1")
+	holder.Kill()
+	answer := <-heard
+	if answer.Err == nil && answer.Outcome != string(lagoonbarrow.OutcomeUnknown) {
+		t.Errorf("the outcome of a filing whose holder died is told as %q", answer.Outcome)
+	}
+	f.switchAll(func(s *backend.Switches) { s.Hang = false })
+	other := f.Nodes[0]
+	if holder == other {
+		other = f.Nodes[1]
+	}
+	again := other.Do(context.Background(), filing)
+	if again.Status == 200 {
+		t.Errorf("a claimed filing was run again: %s", again.Body)
+	}
+	f.Await("the claim is settled after its deadline", 30*time.Second, func() bool {
+		return f.settleAsNotRun(other, "resolution-1")
+	})
+	if final := other.Do(context.Background(), filing); final.Status != 200 {
+		t.Errorf("after the claim was settled as not run: %d %s", final.Status, final.Body)
+	}
+}
+
+// claimRow is what the administration API tells of a key.
+type claimRow struct {
+	State    string `json:"state"`
+	Instance string `json:"instance"`
+	Version  uint64 `json:"version"`
+}
+
+func claimOf(node *fleet.Node, key string) claimRow {
+	var row claimRow
+	answer := node.Administer(http.MethodGet, "/v1/claims/residents/"+key, nil, nil)
+	if answer.Err == nil && answer.Status == http.StatusOK {
+		_ = json.Unmarshal(answer.Body, &row)
+	}
+	return row
+}
+
+// holderOf waits until a key is claimed and returns the node that claimed it.
+func (f *testFleet) holderOf(key string) *fleet.Node {
+	f.t.Helper()
+	var holder *fleet.Node
+	f.Await(key+" is claimed", 10*time.Second, func() bool {
+		row := claimOf(f.Nodes[0], key)
+		for _, node := range f.Nodes {
+			if node.Name == row.Instance {
+				holder = node
+			}
+		}
+		return row.State == string(lagoonbarrow.ClaimHeld) && holder != nil
+	})
+	return holder
+}
+
+// settleAsNotRun asks to settle a key and reports whether that was accepted.
+func (f *testFleet) settleAsNotRun(node *fleet.Node, key string) bool {
+	row := claimOf(node, key)
+	answer := node.Administer(http.MethodPost, "/v1/claims/residents/"+key, map[string]any{
+		"expected": row.Version,
+		"ran":      false,
+	}, nil)
+	return answer.Err == nil && answer.Status == http.StatusOK
+}
