Test the callers' client against the nodes' own listeners

Cause: the client's tests used scripted answers, which could differ from what nodes write; the listeners had no test of their own. Change: each refusal that the entry listener can write goes through the real listener to the client, as do requests with and without a body and downstream calls through the local listener. Result: go test -race -count=3 ./pkg/caller passes; no difference was found.

--- /dev/null
+++ b/pkg/caller/entry_test.go
@@ -0,0 +1,320 @@
+package caller_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"lagoonbarrow"
+	"lagoonbarrow/internal/request/entry"
+	"lagoonbarrow/pkg/caller"
+	"lagoonbarrow/pkg/event"
+)
+
+// The fakes stand for the parts behind the listeners. Methods that the listeners
+// don't use are those of the embedded nil interfaces.
+type fakeContracts struct {
+	lagoonbarrow.Contracts
+}
+
+func (fakeContracts) Ready() bool { return true }
+
+func (fakeContracts) ByKey(apiKey string) (lagoonbarrow.ContractRecord, error) {
+	if apiKey != "key" {
+		return lagoonbarrow.ContractRecord{}, lagoonbarrow.ErrUnauthenticated
+	}
+	return lagoonbarrow.ContractRecord{
+		Customer: "residents",
+	}, nil
+}
+
+func (fakeContracts) Match(_ lagoonbarrow.ContractRecord, method, path string) (lagoonbarrow.Class, error) {
+	if path == "/other" {
+		return lagoonbarrow.Class{}, lagoonbarrow.ErrNotFound
+	}
+	return lagoonbarrow.Class{
+		Name:       "class",
+		Deadline:   lagoonbarrow.Duration(10 * time.Second),
+		AtMostOnce: method == http.MethodPost,
+	}, nil
+}
+
+type fakeTable struct {
+	lagoonbarrow.Table
+}
+
+func (fakeTable) Available() bool { return true }
+
+type fakeLedger struct {
+	lagoonbarrow.Ledger
+}
+
+func (fakeLedger) Open(call *lagoonbarrow.Call, _ time.Time) lagoonbarrow.Account {
+	return fakeAccount{
+		call: call,
+	}
+}
+
+func (fakeLedger) Lookup(id lagoonbarrow.CallID) (lagoonbarrow.Account, error) {
+	if id != "c-1" {
+		return nil, lagoonbarrow.ErrNotFound
+	}
+	return fakeAccount{
+		call: &lagoonbarrow.Call{
+			ID: id,
+		},
+	}, nil
+}
+
+type fakeAccount struct {
+	lagoonbarrow.Account
+	call *lagoonbarrow.Call
+}
+
+func (a fakeAccount) Call() *lagoonbarrow.Call { return a.call }
+
+func (fakeAccount) Deadline() time.Time { return time.Now().Add(10 * time.Second) }
+
+func (fakeAccount) Close() lagoonbarrow.Tokens { return 0 }
+
+// node has real listeners, gives one answer to all calls and keeps them.
+type node struct {
+	answer lagoonbarrow.Answer
+	calls  []*lagoonbarrow.Call
+	entry  string
+	local  string
+}
+
+func (n *node) Do(_ context.Context, _ lagoonbarrow.Account, call *lagoonbarrow.Call) *lagoonbarrow.Answer {
+	n.calls = append(n.calls, call)
+	answer := n.answer
+	return &answer
+}
+
+func (n *node) AllowLevel(lagoonbarrow.ContractRecord, lagoonbarrow.WorkUnits, lagoonbarrow.Importance) (bool, time.Duration) {
+	return n.answer.Reason != lagoonbarrow.ReasonQuota, 1500 * time.Millisecond
+}
+
+func (*node) Record(event.Kind, event.Fields) {}
+
+func startNode(t *testing.T) *node {
+	t.Helper()
+	started := &node{}
+	limits := entry.Limits{
+		BodyBytes:   1024,
+		HeaderBytes: 4096,
+		Connections: 100,
+	}
+	customers := entry.NewCustomerListener(entry.CustomerConfig{
+		Address:   "127.0.0.1:0",
+		Limits:    limits,
+		Contracts: fakeContracts{},
+		Quota:     started,
+		Table:     fakeTable{},
+		Ledger:    fakeLedger{},
+		Caller:    started,
+		Recorder:  started,
+		Scope:     tally.NoopScope,
+	})
+	local := entry.NewLocalListener(entry.LocalConfig{
+		Address: "127.0.0.1:0",
+		Limits:  limits,
+		Ledger:  fakeLedger{},
+		Caller:  started,
+	})
+	started.entry = listen(t, customers)
+	started.local = listen(t, local)
+	return started
+}
+
+// listener is what both listeners of a node have in common.
+type listener interface {
+	Start() (lagoonbarrow.Address, error)
+	Stop(ctx context.Context) error
+}
+
+func listen(t *testing.T, listener listener) string {
+	t.Helper()
+	address, err := listener.Start()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Stop(context.Background()) })
+	return string(address)
+}
+
+func (n *node) client(t *testing.T, apiKey string) *caller.Client {
+	t.Helper()
+	client, err := caller.New(caller.Config{
+		Entries: []string{n.entry},
+		APIKey:  apiKey,
+		Resends: -1,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(client.Close)
+	return client
+}
+
+// Guards against an entry listener and a client that read an outcome, a reason
+// or a status differently.
+func TestClientAndEntryAgree(t *testing.T) {
+	started := startNode(t)
+	client := started.client(t, "key")
+	refusals := []struct {
+		reason  lagoonbarrow.Reason
+		outcome lagoonbarrow.Outcome
+		status  int
+		want    error
+	}{
+		{lagoonbarrow.ReasonShed, lagoonbarrow.OutcomeNotRun, 503, caller.ErrNotRun},
+		{lagoonbarrow.ReasonShed, lagoonbarrow.OutcomeUnknown, 502, caller.ErrUnknown},
+		{lagoonbarrow.ReasonLeaving, lagoonbarrow.OutcomeNotRun, 503, caller.ErrNotRun},
+		{lagoonbarrow.ReasonNotReady, lagoonbarrow.OutcomeNotRun, 503, caller.ErrNotRun},
+		{lagoonbarrow.ReasonExhausted, lagoonbarrow.OutcomeNotRun, 503, caller.ErrNotRun},
+		{lagoonbarrow.ReasonExhausted, lagoonbarrow.OutcomeUnknown, 502, caller.ErrUnknown},
+		{lagoonbarrow.ReasonDeadline, lagoonbarrow.OutcomeNotRun, 504, caller.ErrNotRun},
+		{lagoonbarrow.ReasonDeadline, lagoonbarrow.OutcomeUnknown, 504, caller.ErrUnknown},
+		{lagoonbarrow.ReasonCancelled, lagoonbarrow.OutcomeUnknown, 499, caller.ErrUnknown},
+		{lagoonbarrow.ReasonBackend, lagoonbarrow.OutcomeNotRun, 503, caller.ErrNotRun},
+		{lagoonbarrow.ReasonBackend, lagoonbarrow.OutcomeUnknown, 502, caller.ErrUnknown},
+		{lagoonbarrow.ReasonUnreachable, lagoonbarrow.OutcomeNotRun, 503, caller.ErrNotRun},
+		{lagoonbarrow.ReasonUnreachable, lagoonbarrow.OutcomeUnknown, 502, caller.ErrUnknown},
+		{lagoonbarrow.ReasonDepth, lagoonbarrow.OutcomeNotRun, 508, caller.ErrRejected},
+		{lagoonbarrow.ReasonClaimed, lagoonbarrow.OutcomeUnknown, 409, caller.ErrUnknown},
+		{lagoonbarrow.ReasonVoided, lagoonbarrow.OutcomeNotRun, 503, caller.ErrNotRun},
+		{lagoonbarrow.ReasonMismatch, lagoonbarrow.OutcomeNotRun, 422, caller.ErrRejected},
+		{lagoonbarrow.ReasonPlatform, lagoonbarrow.OutcomeNotRun, 503, caller.ErrNotRun},
+		{lagoonbarrow.ReasonPlatform, lagoonbarrow.OutcomeUnknown, 502, caller.ErrUnknown},
+		{lagoonbarrow.ReasonQuota, lagoonbarrow.OutcomeNotRun, 429, caller.ErrOverContract},
+	}
+	for _, test := range refusals {
+		started.answer = lagoonbarrow.Answer{
+			Outcome: test.outcome,
+			Reason:  test.reason,
+		}
+		_, err := client.Do(context.Background(), caller.Request{
+			Method: http.MethodGet,
+			Path:   "/minutes",
+		})
+		var refused *caller.Refusal
+		if !errors.As(err, &refused) || !errors.Is(err, test.want) {
+			t.Errorf("%s %s: %v, want %v", test.reason, test.outcome, err, test.want)
+			continue
+		}
+		if refused.Status != test.status || refused.Reason != test.reason || refused.Outcome != test.outcome || refused.Request == "" || refused.Text == "" {
+			t.Errorf("%s %s: %+v", test.reason, test.outcome, refused)
+		}
+		wait := test.status == 503 || test.status == 429
+		if (refused.RetryAfter > 0) != wait {
+			t.Errorf("%s %s: Retry-After %s", test.reason, test.outcome, refused.RetryAfter)
+		}
+	}
+}
+
+// Guards against requests that never become a call being taken for run or for
+// worth sending again.
+func TestClientAndEntryAgreeOnRejections(t *testing.T) {
+	started := startNode(t)
+	requests := []struct {
+		apiKey  string
+		request caller.Request
+		status  int
+	}{
+		{"other", caller.Request{Method: http.MethodGet, Path: "/minutes"}, 401},
+		{"key", caller.Request{Method: http.MethodGet, Path: "/other"}, 403},
+		{"key", caller.Request{Method: http.MethodPost, Path: "/resolutions"}, 400},
+		{"key", caller.Request{Method: http.MethodPost, Path: "/resolutions", IdempotencyKey: "a/b"}, 400},
+		{"key", caller.Request{Method: http.MethodPost, Path: "/resolutions", IdempotencyKey: "a", Body: make([]byte, 1025)}, 413},
+		{"key", caller.Request{Method: http.MethodGet, Path: "/minutes", Header: http.Header{"X": {strings.Repeat("x", 5000)}}}, 431},
+	}
+	for _, test := range requests {
+		_, err := started.client(t, test.apiKey).Do(context.Background(), test.request)
+		var refused *caller.Refusal
+		if !errors.As(err, &refused) || refused.Status != test.status || !errors.Is(err, caller.ErrRejected) || !errors.Is(err, caller.ErrNotRun) {
+			t.Errorf("want status %d: %v", test.status, err)
+		}
+	}
+	if len(started.calls) != 0 {
+		t.Errorf("%d calls were made", len(started.calls))
+	}
+}
+
+// Guards against requests that arrive changed, with and without a body.
+func TestEntryGetsTheRequest(t *testing.T) {
+	started := startNode(t)
+	started.answer = lagoonbarrow.Answer{
+		Outcome: lagoonbarrow.OutcomeDone,
+		Status:  201,
+		Body:    []byte("filed"),
+	}
+	for _, body := range []string{"", "signed"} {
+		response, err := started.client(t, "key").Do(context.Background(), caller.Request{
+			Method:         http.MethodPost,
+			Path:           "/resolutions?draft=0",
+			Body:           []byte(body),
+			IdempotencyKey: "resolution-1",
+		})
+		if err != nil || response.Status != 201 || string(response.Body) != "filed" || response.Request == "" {
+			t.Fatalf("response %+v, error %v", response, err)
+		}
+		call := started.calls[len(started.calls)-1]
+		if call.Path != "/resolutions?draft=0" || string(call.Body) != body || call.Key != "resolution-1" || call.Attempt == "" {
+			t.Errorf("got call %+v", call)
+		}
+	}
+}
+
+// Guards against a local listener and a downstream client that disagree on the
+// path, on the running call or on the key of intended repeats.
+func TestDownstreamAndLocalListenerAgree(t *testing.T) {
+	started := startNode(t)
+	started.answer = lagoonbarrow.Answer{
+		Outcome: lagoonbarrow.OutcomeDone,
+		Status:  200,
+	}
+	downstream, err := caller.NewDownstream(caller.DownstreamConfig{
+		Node: started.local,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer downstream.Close()
+	serving := httptest.NewRequest(http.MethodGet, "/minutes", nil)
+	serving.Header.Set(lagoonbarrow.HeaderCall, "c-1")
+	call := caller.Call{
+		Service: "members",
+		Method:  http.MethodGet,
+		Path:    "/member/17?full=1",
+		Key:     "second",
+	}
+	if _, err := downstream.Do(serving, call); err != nil {
+		t.Fatal(err)
+	}
+	got := started.calls[0]
+	if got.Service != "members" || got.Path != "/member/17?full=1" || !carries(got, lagoonbarrow.HeaderCallKey, "second") {
+		t.Errorf("got call %+v", got)
+	}
+	serving.Header.Set(lagoonbarrow.HeaderCall, "ended")
+	_, err = downstream.Do(serving, call)
+	var refused *caller.Refusal
+	if !errors.Is(err, caller.ErrRejected) || !errors.As(err, &refused) || refused.Reason != lagoonbarrow.ReasonUnknownCall {
+		t.Errorf("ended call: %v", err)
+	}
+}
+
+func carries(call *lagoonbarrow.Call, name, value string) bool {
+	for _, field := range call.Header {
+		if field.Name == name && field.Value == value {
+			return true
+		}
+	}
+	return false
+}
