Add a load command to the stand-ins

Cause: a person who tries the demo has no way to see an overload. Change: lagoonbarrow-standin load sends requests at a steady rate and counts the answers; the demo forgets the process id of the node that it stopped.

--- a/internal/standin/command/command.go
+++ b/internal/standin/command/command.go
@@ -28,6 +28,7 @@
 		Commands: []*cli.Command{
 			platformCommand(),
 			backendCommand(),
+			loadCommand(),
 		},
 	}
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -174,6 +174,10 @@
 expect "calls that failed during the stop" 0 "$(grep -vc '^200$' "$work/statuses" || true)"
 gone() { ! kill -0 "${node_pid[resolutions-b]}" 2>/dev/null; }
 wait_for 20 gone && pass "the node stopped" || fail "the node did not stop"
+# Its process id may be given to another process from now on.
+for index in "${!pids[@]}"; do
+  if [ "${pids[$index]}" = "${node_pid[resolutions-b]}" ]; then unset "pids[$index]"; fi
+done
 
 build/lagoonbarrow status
 echo "time line of the processes (first and last lines):"
