Bound the repeats after 429 by time

Counting five tries made the result depend on how the platform's limit and the waits fell together: 51 writes against 40/s failed in 2 of 2 runs of a loaded machine. A write is now sent again until Config.Timeout after its first 429.

--- a/internal/process/platform/batch.go
+++ b/internal/process/platform/batch.go
@@ -27,19 +27,13 @@
 	sent bool
 	// withdrawn is set when the caller gave up.
 	withdrawn bool
-	// limited counts the batches with this write that the platform refused
-	// with 429.
-	limited int
+	// refused is when the platform first refused a batch with this write with 429.
+	refused time.Time
 }
 
-const (
-	// limitedTries bounds the batches that one write is part of while the
-	// platform answers 429.
-	limitedTries = 5
-	// limitedDelay is the mean wait after a 429; each is drawn from half of it
-	// to one and a half.
-	limitedDelay = 100 * time.Millisecond
-)
+// limitedDelay is the mean wait after a 429; each is drawn from half of it to one
+// and a half.
+const limitedDelay = 100 * time.Millisecond
 
 type rowName struct {
 	table string
@@ -145,14 +139,18 @@
 }
 
 // again queues the writes of a batch that was refused with 429, before those
-// that wait, and waits a little. Writes that were refused too often end.
+// that wait, and waits a little. Writes that were first refused longer than
+// Config.Timeout ago end.
 func (b *batcher) again(batch []*pendingPut, refusal error) {
 	b.mutex.Lock()
 	b.size = max(b.size/2, 1)
 	var back, over []*pendingPut
+	now := time.Now()
 	for _, pending := range batch {
-		pending.limited++
-		if pending.limited == limitedTries {
+		if pending.refused.IsZero() {
+			pending.refused = now
+		}
+		if now.Sub(pending.refused) > b.client.config.Timeout {
 			over = append(over, pending)
 			continue
 		}
--- a/internal/process/platform/batch_test.go
+++ b/internal/process/platform/batch_test.go
@@ -112,6 +112,7 @@
 	defer func() { _ = server.Stop() }()
 	client := New(Config{
 		Address: address,
+		Timeout: time.Minute,
 	})
 	defer func() { _ = client.Stop() }()
 	client.batcher.queue = queued(manyWrites(50)...)
