Delay digest exchanges instead of skipping them without budget

Cause: a node without budget skipped its digest exchange for a whole interval, so the repair after many starts waited for several half minutes. Change: the exchange waits until the budget is positive again.

--- a/internal/process/roster/sync.go
+++ b/internal/process/roster/sync.go
@@ -34,8 +34,9 @@
 	wait := r.config.DigestInterval / firstDigest
 	for sleep(ctx, jitter(wait)) {
 		wait = min(2*wait, r.config.DigestInterval)
-		if r.budget.left() < 0 {
-			continue
+		// A skipped turn would leave the repair for another half minute.
+		for r.budget.left() < 0 && sleep(ctx, jitter(r.config.ProbeInterval)) {
+			r.scope.probesPaused.Inc(1)
 		}
 		peers := r.table.sample(1, func(m *member) bool {
 			return m.ref != r.selfRef && m.Status.live() && m.Status.Verdict == verdictAlive
