Measure the backend server without waits for the platform and other services

Cause: a call's slot was held until its claim was completed, and the time of claim writes and of downstream calls counted as the backend server's latency, because nothing told the permit of them. A platform that answered in 1 s left a backend server of 15 slots with 15 filings/s, and slow services below lowered the limits above. A kept answer given again counted as a served call of a few milliseconds.

--- a/internal/request/call/caller.go
+++ b/internal/request/call/caller.go
@@ -80,7 +80,9 @@
 		c.record(event.RepeatRefused, call, "", err.Error())
 		return refuseRepeat(call, err)
 	}
+	waited := c.tracker.wait(account.Call().ID)
 	answer := c.attempts(ctx, account, call)
+	waited()
 	meant.End(answer.Outcome, answer.Outcome != lagoonbarrow.OutcomeDone || answer.Status >= 500)
 	c.tracker.note(account.Call().ID, answer)
 	return answer
--- a/internal/request/call/handler.go
+++ b/internal/request/call/handler.go
@@ -111,8 +111,8 @@
 		permit.Release(false)
 		return lagoonbarrow.Refuse(call.ID, lagoonbarrow.ReasonExhausted)
 	}
-	h.tracker.open(call.ID)
-	answer := h.admitted(permit, call, deadline)
+	h.tracker.open(call.ID, permit)
+	answer, served := h.admitted(permit, call, deadline)
 	met := h.tracker.close(call.ID)
 	answer.TokensLeft = account.Close()
 	answer.Threshold = max(answer.Threshold, met.threshold)
@@ -120,7 +120,7 @@
 		// Another try would meet the same overload below.
 		answer.Reason = lagoonbarrow.ReasonExhausted
 	}
-	permit.Release(answer.Outcome == lagoonbarrow.OutcomeDone)
+	permit.Release(served)
 	return answer
 }
 
@@ -147,11 +147,14 @@
 	return h.config.Ledger.Open(call, deadline), nil
 }
 
-func (h *Handler) admitted(permit lagoonbarrow.Permit, call *lagoonbarrow.Call, deadline time.Time) *lagoonbarrow.Answer {
+// admitted runs the call or answers it from its claim, and reports whether the
+// backend server gave the answer.
+func (h *Handler) admitted(permit lagoonbarrow.Permit, call *lagoonbarrow.Call, deadline time.Time) (answer *lagoonbarrow.Answer, served bool) {
 	if call.Attempt == "" || h.config.Plain {
-		return h.runBackend(permit.Context(), call, deadline)
+		answer = h.runBackend(permit.Context(), call, deadline)
+		return answer, answer.Outcome == lagoonbarrow.OutcomeDone
 	}
-	return h.runOnce(permit.Context(), call, deadline)
+	return h.runOnce(permit, call, deadline)
 }
 
 func (h *Handler) runBackend(ctx context.Context, call *lagoonbarrow.Call, deadline time.Time) *lagoonbarrow.Answer {
@@ -166,24 +169,32 @@
 	return answer
 }
 
-// runOnce claims the call's key, runs the call and keeps its answer.
-func (h *Handler) runOnce(ctx context.Context, call *lagoonbarrow.Call, deadline time.Time) *lagoonbarrow.Answer {
+// runOnce claims the call's key, runs the call and keeps its answer. The slot is
+// released before the claim is ended, and the claim write is not part of the
+// measured latency, so that a slow platform does not look like a slow backend server.
+func (h *Handler) runOnce(permit lagoonbarrow.Permit, call *lagoonbarrow.Call, deadline time.Time) (answer *lagoonbarrow.Answer, served bool) {
+	ctx := permit.Context()
+	taken := startDownstream(permit)
 	claim, err := h.config.Claims.Take(ctx, call, deadline)
+	taken()
 	if err != nil {
-		return h.notTaken(ctx, call, claim, err)
+		return h.notTaken(ctx, call, claim, err), false
 	}
 	h.record(event.ClaimTaken, call, "")
 	if ctx.Err() != nil {
 		// Nothing was run yet, so the key is freed for the caller's next try.
-		answer := lagoonbarrow.Refuse(call.ID, endReason(ctx))
+		answer = lagoonbarrow.Refuse(call.ID, endReason(ctx))
+		permit.Release(false)
 		h.void(call, claim, answer)
-		return answer
+		return answer, false
 	}
 	// A claimed request is finished even if its caller goes away, because its
 	// outcome is kept for the caller's next try.
 	running, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
-	answer := h.runBackend(running, call, deadline)
+	answer = h.runBackend(running, call, deadline)
 	cancel()
+	served = answer.Outcome == lagoonbarrow.OutcomeDone
+	permit.Release(served)
 	switch answer.Outcome {
 	case lagoonbarrow.OutcomeDone:
 		h.complete(call, claim, answer)
@@ -192,7 +203,7 @@
 	default:
 		h.record(event.ClaimUnknown, call, string(answer.Reason))
 	}
-	return answer
+	return answer, served
 }
 
 func (h *Handler) complete(call *lagoonbarrow.Call, claim lagoonbarrow.Claim, answer *lagoonbarrow.Answer) {
--- a/internal/request/call/tracker.go
+++ b/internal/request/call/tracker.go
@@ -18,6 +18,23 @@
 	threshold lagoonbarrow.Threshold
 	// overloaded is set when a call was refused for overload or ran out of tokens.
 	overloaded bool
+	permit     lagoonbarrow.Permit
+}
+
+// downstreamTimer is implemented by permits that take the time in which a call
+// waits for other services out of its measured latency.
+type downstreamTimer interface {
+	Downstream() (done func())
+}
+
+// startDownstream notes that a call begins to wait for another service; the
+// function it returns notes the end.
+func startDownstream(permit lagoonbarrow.Permit) (done func()) {
+	timer, ok := permit.(downstreamTimer)
+	if !ok {
+		return func() {}
+	}
+	return timer.Downstream()
 }
 
 func newTracker() *tracker {
@@ -26,10 +43,20 @@
 	}
 }
 
-func (t *tracker) open(id lagoonbarrow.CallID) {
+func (t *tracker) open(id lagoonbarrow.CallID, permit lagoonbarrow.Permit) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.calls[id] = below{}
+	t.calls[id] = below{
+		permit: permit,
+	}
+}
+
+// wait notes that a running call begins to wait for a call below it.
+func (t *tracker) wait(parent lagoonbarrow.CallID) (done func()) {
+	t.mu.Lock()
+	permit := t.calls[parent].permit
+	t.mu.Unlock()
+	return startDownstream(permit)
 }
 
 // note adds what an answer showed. Answers for calls that have ended are ignored.
