Report a void whose row has moved on

The holder's Void returned nil when an operator had settled the claim as run. The executing node then offered claim version + 1 for another attempt, and a claim at that version would have replaced the completed row. Void now returns ErrConflict unless the row is voided at that version.

TestVoidAfterSettledAsRun fails on the version before and passes now.

--- a/internal/request/claim/claims_test.go
+++ b/internal/request/claim/claims_test.go
@@ -401,6 +401,28 @@
 	wantError(t, "no row", err, lagoonbarrow.ErrNotFound)
 }
 
+// Guards against another attempt over a row that an operator settled as run,
+// because its holder's void reported success.
+func TestVoidAfterSettledAsRun(t *testing.T) {
+	table := newScriptedTable()
+	now, advance := newClock()
+	claims, _ := newClaims(t, table, func(config *Config) { config.Now = now })
+	ctx := context.Background()
+	held, err := claims.Take(ctx, newCall("a", 0), now().Add(time.Second))
+	if err != nil {
+		t.Fatal(err)
+	}
+	advance(time.Minute)
+	if _, err := claims.Settle(ctx, held.Customer, held.Key, held.Version, true); err != nil {
+		t.Fatal(err)
+	}
+	wantError(t, "void", claims.Void(ctx, held), lagoonbarrow.ErrConflict)
+	found := waitFor(t, claims, lagoonbarrow.ClaimCompleted)
+	if len(found.Answer.Header) != 1 || found.Answer.Header[0].Value != AnswerSettled {
+		t.Errorf("answer %v", found.Answer)
+	}
+}
+
 // Guards against background writes that are dropped in silence, and against a
 // queue without bound.
 func TestFullQueueAndStopAreReported(t *testing.T) {
--- a/internal/request/claim/finish.go
+++ b/internal/request/claim/finish.go
@@ -78,7 +78,9 @@
 }
 
 // Void implements lagoonbarrow.Claims. The caller must not run the attempt
-// afterwards, whatever is returned. It waits and continues like Complete.
+// afterwards, whatever is returned. It waits and continues like Complete. nil
+// means that the row is voided at the claim's version + 1; ErrConflict that it
+// has moved on, so that no attempt may be made at that version.
 func (c *Claims) Void(ctx context.Context, held lagoonbarrow.Claim) error {
 	if err := checkHeld(held); err != nil {
 		return err
@@ -146,10 +148,15 @@
 		ending.expected = present.version
 		ending.claimWrite = ""
 		return false, cause
-	case ending.row.State == lagoonbarrow.ClaimVoided:
-		// The row has moved on; the attempt's claim is not in force.
+	case ending.row.State == lagoonbarrow.ClaimVoided && present.row.State == lagoonbarrow.ClaimVoided && present.version == ending.expected+1:
+		// An operator voided the claim first.
 		c.noteEnded(ending)
 		return true, nil
+	case ending.row.State == lagoonbarrow.ClaimVoided:
+		// The row has moved on; the attempt's claim is not in force. Success
+		// would say that another attempt may be made at the next version.
+		c.noteEnded(ending)
+		return true, errors.Wrapf(lagoonbarrow.ErrConflict, "claim: %s by attempt %s", present.row.State, present.row.Attempt)
 	case overtaken(present.row, ending.row):
 		ending.expected = present.version
 		return false, cause
