End a property case whose attempts are not bounded

Cause: with repeats made free in a trial, attempts multiplied over 24 hops and the test ran until its timeout of 10 minutes instead of failing. Change: a case ends after 10,000 attempts at a service, far above every bound it checks. Check: with free repeats the property now fails after 1 case (1.3 s); with shares that keep their tokens or free re-sends the properties failed before and after.

--- a/internal/request/budget/property_test.go
+++ b/internal/request/budget/property_test.go
@@ -17,6 +17,8 @@
 
 const (
 	deepest = 24
+	// mostAttempts is far above all bounds of the cases.
+	mostAttempts = 10_000
 	// parameterSeed makes the properties repeatable.
 	parameterSeed = 20261204
 )
@@ -95,6 +97,10 @@
 // run runs one attempt and returns the tokens left and whether it failed.
 func (w *world) run(meant *meantCall, tokens lagoonbarrow.Tokens) (lagoonbarrow.Tokens, bool) {
 	w.attempts[meant.service]++
+	if w.attempts[meant.service] > mostAttempts {
+		// Without a bound, attempts double at every hop and the case would not end.
+		return 0, false
+	}
 	ledger := w.ledgers[meant.service]
 	if ledger == nil {
 		ledger = New(Config{})
