--- a/internal/request/call/caller.go
+++ b/internal/request/call/caller.go
@@ -291,8 +291,11 @@
 	started := time.Now()
 	answer, err := c.transmit(ctx, instance, call)
 	observation := lagoonbarrow.Observation{
-		Latency: time.Since(started),
-		Failed:  failedInstance(ctx, answer, err),
+		Failed: failedInstance(ctx, answer, err),
+	}
+	if err == nil && answer.Outcome == lagoonbarrow.OutcomeDone {
+		// A refusal is quick and would make an overloaded instance look fast.
+		observation.Latency = time.Since(started)
 	}
 	if err == nil {
 		observation.Load = answer.Load
