Keep customers within their rate from being refused in swings of demand

Work was refused as over the contract although the customer stayed below its rate.

- The burst stayed where it was unused.
- A report averaged a jump with the time before it, and the next one came a second later.
The share of unused rate was not the main cause.

Tried and dropped: larger credits.

Steady demand below half of the share is reported every 2 s.

The bound on the sum of the shares is unchanged.

--- a/internal/process/quota/bound_test.go
+++ b/internal/process/quota/bound_test.go
@@ -35,14 +35,53 @@
 	paused     map[lagoonbarrow.InstanceID]bool
 	deliveries []*delivery
 	issues     map[grantID]issue
+	// admitted is the work that all nodes admitted, and supplied what they could
+	// have: floors, shares, credit and the debt of one request for each process.
+	admitted lagoonbarrow.WorkUnits
+	supplied lagoonbarrow.WorkUnits
+	// given is what each owner process gave since it started: credit less
+	// returned work, and the shares in use.
+	given   map[*Quota]lagoonbarrow.WorkUnits
+	started map[*Quota]time.Time
 }
 
+// mostUnits is the largest request of a schedule.
+const mostUnits = 60
+
 func newSchedule() *schedule {
-	return &schedule{
-		world:  newWorld(5),
-		paused: map[lagoonbarrow.InstanceID]bool{},
-		issues: map[grantID]issue{},
+	s := &schedule{
+		world:   newWorld(5),
+		paused:  map[lagoonbarrow.InstanceID]bool{},
+		issues:  map[grantID]issue{},
+		given:   map[*Quota]lagoonbarrow.WorkUnits{},
+		started: map[*Quota]time.Time{},
+	}
+	for _, node := range s.nodes {
+		s.begin(node)
+	}
+	return s
+}
+
+func (s *schedule) begin(node *Quota) {
+	allowed := node.limitsOf(s.contract)
+	s.supplied += allowed.capacity(allowed.floor) + mostUnits
+	s.started[node] = s.now
+}
+
+// pass lets time pass and adds up what the nodes are supplied with.
+func (s *schedule) pass(duration time.Duration) {
+	for _, node := range s.nodes {
+		rest := duration
+		if held, valid := s.share(node); valid {
+			used := min(rest, held.until.Sub(s.now))
+			units := held.share * lagoonbarrow.WorkUnits(used.Seconds())
+			s.supplied += units
+			s.given[s.issues[held.grant].owner] += units
+			rest -= used
+		}
+		s.supplied += node.limitsOf(s.contract).floor * lagoonbarrow.WorkUnits(rest.Seconds())
 	}
+	s.now = s.now.Add(duration)
 }
 
 // step carries out one step; the low part of the code chooses it and the rest
@@ -53,9 +92,12 @@
 	node := s.nodes[member.ID]
 	switch code % 16 {
 	case 0, 1:
-		s.now = s.now.Add(time.Duration(parameter%700) * time.Millisecond)
+		s.pass(time.Duration(parameter%700) * time.Millisecond)
 	case 2, 3, 4:
-		node.AllowLevel(s.contract, lagoonbarrow.WorkUnits(1+parameter/8%60), lagoonbarrow.Importance(1+parameter/512%3))
+		units := lagoonbarrow.WorkUnits(1 + parameter/8%mostUnits)
+		if ok, _ := node.AllowLevel(s.contract, units, lagoonbarrow.Importance(1+parameter/512%3)); ok {
+			s.admitted += units
+		}
 	case 5, 6, 7:
 		s.report(member, node)
 	case 8, 9, 10:
@@ -82,7 +124,11 @@
 		}
 	}
 	node.updateMembers()
+	node.ledger.clean(s.now)
 	for _, batch := range node.prepare(node.due(false)) {
+		for _, entry := range batch.report.Entries {
+			s.supplied -= entry.Returned
+		}
 		s.deliveries = append(s.deliveries, &delivery{
 			from:  node,
 			name:  member.ID,
@@ -116,7 +162,11 @@
 	owner := s.nodes[chosen.batch.owner.ID]
 	reply := owner.answer(chosen.name, chosen.batch.report)
 	chosen.reply = &reply
+	for _, entry := range chosen.batch.report.Entries {
+		s.given[owner] -= entry.Returned
+	}
 	for _, entry := range reply.Entries {
+		s.given[owner] += entry.Credit
 		s.issues[entry.Grant] = issue{
 			owner: owner,
 			at:    s.now,
@@ -133,6 +183,9 @@
 		return
 	}
 	chosen.abandoned = true
+	for _, entry := range chosen.reply.Entries {
+		s.supplied += entry.Credit
+	}
 	chosen.from.accept(chosen.batch, *chosen.reply)
 }
 
@@ -150,7 +203,7 @@
 // disturb restarts a process, or changes who owns customers in its view.
 func (s *schedule) disturb(member lagoonbarrow.Instance, parameter int) {
 	if parameter%4 == 0 {
-		s.start(member)
+		s.begin(s.start(member))
 		return
 	}
 	view := s.views[member.ID]
@@ -186,11 +239,23 @@
 	if floors > testRate*rounding {
 		return fmt.Errorf("floors add up to %v", floors)
 	}
+	if s.admitted > s.supplied*rounding {
+		return fmt.Errorf("admitted %v of %v", s.admitted, s.supplied)
+	}
+	for owner, units := range s.given {
+		if units > testRate*lagoonbarrow.WorkUnits(s.now.Sub(s.started[owner]).Seconds())*rounding {
+			return fmt.Errorf("an owner gave %v in %v", units, s.now.Sub(s.started[owner]))
+		}
+		if account := owner.ledger.account("acme"); account.pool.units > testBurst*rounding {
+			return fmt.Errorf("%v of the burst is kept", account.pool.units)
+		}
+	}
 	return nil
 }
 
 // Guards against shares that add up to more than the rate for each process
-// that acts as owner, under pauses, lost and late messages, changes of owner
+// that acts as owner, against shares and credit that do so in the long run, and
+// against work that is admitted without a supply, under pauses, lost and late messages, changes of owner
 // and restarts.
 func TestPropertySharesStayWithinBound(t *testing.T) {
 	parameters := gopter.DefaultTestParameters()
@@ -233,7 +298,7 @@
 
 // Guards against a bucket that admits more than its shares allow: over any
 // schedule the admitted work is at most the first capacity, the integral of
-// the share, and the debt of one request.
+// the share, the credit less the returned work, and the debt of one request.
 func TestPropertyBucketAdmitsNoMoreThanShares(t *testing.T) {
 	parameters := gopter.DefaultTestParameters()
 	parameters.MinSuccessfulTests = 2000
@@ -251,8 +316,8 @@
 			admitted := lagoonbarrow.WorkUnits(0)
 			bound := allowed.capacity(allowed.floor) + 20
 			for _, code := range codes {
-				parameter := code / 4
-				switch code % 4 {
+				parameter := code / 6
+				switch code % 6 {
 				case 0:
 					end := now.Add(time.Duration(parameter%300) * 10 * time.Millisecond)
 					for ; now.Before(end); now = now.Add(10 * time.Millisecond) {
@@ -263,6 +328,15 @@
 						share: lagoonbarrow.WorkUnits(parameter % 200),
 						until: now.Add(time.Duration(parameter%400) * 10 * time.Millisecond),
 					}, allowed)
+				case 2:
+					added := lagoonbarrow.WorkUnits(parameter % 30)
+					bound += added
+					tested.acceptCredit(now, credit{
+						units: added,
+						until: now.Add(time.Duration(parameter%50) * 10 * time.Millisecond),
+					}, allowed)
+				case 3:
+					bound -= tested.removeExcess(allowed)
 				default:
 					units := lagoonbarrow.WorkUnits(1 + parameter%20)
 					if ok, _ := tested.take(now, units, lagoonbarrow.Importance(parameter/64%4), allowed); ok {
@@ -271,8 +345,8 @@
 				}
 			}
 			tested.refill(now.Add(time.Hour), allowed)
-			if tested.tokens > allowed.capacity(tested.share(now.Add(time.Hour), allowed)) {
-				return false, fmt.Errorf("%v tokens after an hour without requests", tested.tokens)
+			if tested.tokens > allowed.capacity(tested.share(now.Add(time.Hour), allowed)) || tested.credit() > 0 {
+				return false, fmt.Errorf("%v tokens and %v credit after an hour without requests", tested.tokens, tested.credit())
 			}
 			if admitted > bound*(1+1e-9) {
 				return false, fmt.Errorf("admitted %v, the bound is %v", admitted, bound)
--- a/internal/process/quota/config.go
+++ b/internal/process/quota/config.go
@@ -18,6 +18,10 @@
 	DefaultReportTimeout = 500 * time.Millisecond
 )
 
+// creditLife is how long credit is valid after its report was sent: two of the
+// shortest report intervals. It adds to the bound on the admitted work.
+const creditLife = 500 * time.Millisecond
+
 // Config holds what a Quota needs.
 type Config struct {
 	Roster    lagoonbarrow.Roster
--- a/internal/process/quota/ledger.go
+++ b/internal/process/quota/ledger.go
@@ -16,10 +16,12 @@
 // The parts of the free rate that are handed out. A holder's first report may
 // be the first of many that arrive within milliseconds: with half of the free
 // rate, the fourth of four nodes with a tenth of the rate each was refused
-// requests for 2 s, until the others gave shares back.
+// requests for 2 s, until the others gave shares back. With 0.9 instead of 0.6
+// for the established ones, the pool of the burst filled too slowly for demand
+// that moves each second.
 const (
 	newcomerRoom    = 0.25
-	establishedRoom = 0.9
+	establishedRoom = 0.6
 )
 
 // shrinkStep is the part by which a share must be too large to be made smaller.
@@ -54,20 +56,23 @@
 	demand      byLevel
 	outstanding lagoonbarrow.WorkUnits
 	swept       time.Time
+	pool        pool
 }
 
 // ledger holds the shares that this process granted as the owner of customers.
 type ledger struct {
-	life time.Duration
+	life    time.Duration
+	started time.Time
 	// mutex guards the fields below.
 	mutex    sync.Mutex
 	next     grantID
 	accounts map[lagoonbarrow.CustomerID]*account
 }
 
-func newLedger(life time.Duration) *ledger {
+func newLedger(life time.Duration, started time.Time) *ledger {
 	return &ledger{
 		life:     life,
+		started:  started,
 		next:     grantID(rand.Uint64() >> 1),
 		accounts: map[lagoonbarrow.CustomerID]*account{},
 	}
@@ -75,10 +80,12 @@
 
 // grant answers one entry of a report. It returns false for a report that was
 // overtaken by a later one.
-func (l *ledger) grant(now time.Time, from holder, sequence uint64, entry reportEntry, rate lagoonbarrow.WorkUnits) (answerEntry, bool) {
+func (l *ledger) grant(now time.Time, from holder, sequence uint64, entry reportEntry, terms lagoonbarrow.Contract) (answerEntry, bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	rate := terms.WorkUnitsPerSecond
 	customer := l.account(entry.Customer)
+	customer.refill(now, l.started, terms)
 	customer.sweep(now, l.life)
 	present := customer.claim(from)
 	if sequence <= present.sequence {
@@ -87,6 +94,7 @@
 	established := present.sequence > 0
 	present.sequence = sequence
 	present.reported = now
+	customer.pool.give(entry.Returned)
 	customer.replaceDemand(present.demand, entry.Demand)
 	present.demand = entry.Demand
 	customer.outstanding -= present.largest()
@@ -104,6 +112,7 @@
 		Customer: entry.Customer,
 		Grant:    next.id,
 		Share:    next.share,
+		Credit:   customer.takeCredit(entry.Missing),
 	}, true
 }
 
@@ -230,7 +239,7 @@
 	defer l.mutex.Unlock()
 	for customer, present := range l.accounts {
 		present.sweep(now, l.life)
-		if len(present.claims) == 0 {
+		if len(present.claims) == 0 && present.poolFull(now) {
 			delete(l.accounts, customer)
 		}
 	}
--- a/internal/process/quota/messages.go
+++ b/internal/process/quota/messages.go
@@ -44,6 +44,12 @@
 	// Using is the part of the held share that this process keeps using; it gave
 	// up the rest before it sent the report.
 	Using lagoonbarrow.WorkUnits `msgpack:"using,omitempty"`
+	// Missing is the work that the bucket lacks to last until a share follows
+	// the demand.
+	Missing lagoonbarrow.WorkUnits `msgpack:"missing,omitempty"`
+	// Returned is the work that the bucket held above the capacity of what it
+	// keeps using; it took it out before it sent the report.
+	Returned lagoonbarrow.WorkUnits `msgpack:"returned,omitempty"`
 }
 
 type answer struct {
@@ -105,6 +111,9 @@
 	Customer lagoonbarrow.CustomerID `msgpack:"customer"`
 	Grant    grantID                 `msgpack:"grant"`
 	Share    lagoonbarrow.WorkUnits  `msgpack:"share"`
+	// Credit is work that may be admitted once, within creditLife after the
+	// report was sent.
+	Credit lagoonbarrow.WorkUnits `msgpack:"credit,omitempty"`
 }
 
 func encode(kind string, value any) (lagoonbarrow.Message, error) {
@@ -124,7 +133,7 @@
 		return got, errors.Wrapf(lagoonbarrow.ErrInvalid, "quota: decode report: %v", err)
 	}
 	for _, entry := range got.Entries {
-		if !validDemand(entry.Demand) || !validUnits(entry.Using) {
+		if !validDemand(entry.Demand) || !validUnits(entry.Using) || !validUnits(entry.Missing) || !validUnits(entry.Returned) {
 			return got, errors.Wrap(lagoonbarrow.ErrInvalid, "quota: decode report: demand is not a positive number")
 		}
 	}
@@ -137,8 +146,8 @@
 		return got, errors.Wrapf(lagoonbarrow.ErrInvalid, "quota: decode answer: %v", err)
 	}
 	for _, entry := range got.Entries {
-		if !validUnits(entry.Share) {
-			return got, errors.Wrap(lagoonbarrow.ErrInvalid, "quota: decode answer: share is not a positive number")
+		if !validUnits(entry.Share) || !validUnits(entry.Credit) {
+			return got, errors.Wrap(lagoonbarrow.ErrInvalid, "quota: decode answer: share or credit is not a positive number")
 		}
 	}
 	return got, nil
--- /dev/null
+++ b/internal/process/quota/pool.go
@@ -0,0 +1,61 @@
+package quota
+
+import (
+	"time"
+
+	"lagoonbarrow"
+)
+
+// creditPart is the part of the pool that one answer may take, so that a swing
+// that reaches many nodes does not leave the last ones without credit. With 0.4,
+// two pairs of nodes that swing in turn were refused 2.8 times as much as with
+// 0.15.
+const creditPart = 0.15
+
+// pool is the part of a customer's burst that its owner grants as credit. It is
+// filled at the rate that is not granted in shares, so that shares and credit
+// together never exceed the rate in the long run.
+type pool struct {
+	units lagoonbarrow.WorkUnits
+	last  time.Time
+	rate  lagoonbarrow.WorkUnits
+	burst lagoonbarrow.WorkUnits
+}
+
+// refill adds the rate that was not outstanding since the last report. A pool
+// that is new holds no more than the process could have filled since it
+// started, so that restarts don't give the burst anew.
+func (a *account) refill(now, started time.Time, terms lagoonbarrow.Contract) {
+	from := a.pool.last
+	free := max(0, min(a.pool.rate, terms.WorkUnitsPerSecond)-a.outstanding)
+	if from.IsZero() {
+		from = started
+		free = terms.WorkUnitsPerSecond
+	}
+	a.pool.rate = terms.WorkUnitsPerSecond
+	a.pool.burst = terms.BurstWorkUnits
+	a.pool.last = now
+	if elapsed := now.Sub(from).Seconds(); elapsed > 0 {
+		a.pool.units += free * lagoonbarrow.WorkUnits(elapsed)
+	}
+	a.pool.units = min(a.pool.units, a.pool.burst)
+}
+
+func (p *pool) give(returned lagoonbarrow.WorkUnits) {
+	p.units = min(p.units+returned, p.burst)
+}
+
+func (a *account) takeCredit(missing lagoonbarrow.WorkUnits) lagoonbarrow.WorkUnits {
+	if a.pool.rate <= 0 {
+		return 0
+	}
+	credit := min(missing, a.pool.units*creditPart)
+	a.pool.units -= credit
+	return credit
+}
+
+// poolFull reports whether the pool is no different from that of a new account.
+func (a *account) poolFull(now time.Time) bool {
+	filled := a.pool.rate * lagoonbarrow.WorkUnits(now.Sub(a.pool.last).Seconds())
+	return a.pool.rate <= 0 || a.pool.units+filled >= a.pool.burst
+}
--- a/internal/process/quota/quota.go
+++ b/internal/process/quota/quota.go
@@ -20,6 +20,13 @@
 	// quarters is the number of times per report interval that a node looks for
 	// urgent reports.
 	quarters = 4
+	// farBelow is the part of its share below which steady demand is reported at
+	// every second tick only.
+	farBelow = 0.5
+	// calmReports is the number of reports of steady demand before one is left
+	// out. Without it, the first of many nodes kept their shares of a customer
+	// that had just begun for a second longer.
+	calmReports = 3
 	// reportQueue bounds the reports that wait for a worker.
 	reportQueue = 256
 )
@@ -54,7 +61,7 @@
 	return &Quota{
 		config:   config,
 		metrics:  newMetrics(config.Scope),
-		ledger:   newLedger(config.ShareLife),
+		ledger:   newLedger(config.ShareLife, config.Now()),
 		pool:     pond.NewPool(reportWorkers, pond.WithQueueSize(reportQueue)),
 		buckets:  map[lagoonbarrow.CustomerID]*bucket{},
 		reporter: newReporter(),
@@ -137,7 +144,22 @@
 	if since < q.shortest() {
 		return false
 	}
-	return present.demand.refused && present.demand.grown() || present.demand.fallen(now)
+	if present.demand.fallen(now) {
+		return true
+	}
+	scarce := present.demand.refused || present.low()
+	return scarce && (present.demand.followUps > 0 || present.demand.grown(now))
+}
+
+// mayWait reports whether a report may be left out at a tick: the last one is
+// one interval old, the share lasts beyond the next one, and the demand is
+// steady and far below it.
+func (q *Quota) mayWait(present *bucket, now time.Time) bool {
+	return now.Sub(present.demand.reported) < q.config.ReportInterval*3/2 &&
+		present.held.until.Sub(now) > q.config.ReportInterval*3/2 &&
+		present.demand.perSecond.sum() < present.held.share*farBelow &&
+		!present.low() &&
+		present.demand.calm >= calmReports && present.demand.steady(now)
 }
 
 // shortest is the least time between two reports of a customer's demand.
--- a/internal/process/quota/quota_test.go
+++ b/internal/process/quota/quota_test.go
@@ -219,13 +219,16 @@
 		if share := node.buckets["acme"].share(w.now, node.limitsOf(w.contract)); !(share <= testRate) {
 			t.Fatalf("share %v", share)
 		}
+		if given := node.buckets["acme"].credit(); !(given <= testBurst) {
+			t.Fatalf("credit %v", given)
+		}
 	})
 }
 
 // Guards against a report whose cost grows with the number of holders: 7,800
 // nodes report one customer to one owner each second.
 func BenchmarkGrant(b *testing.B) {
-	table := newLedger(DefaultShareLife)
+	table := newLedger(DefaultShareLife, time.Time{})
 	now := time.Unix(1000, 0)
 	for number := 0; b.Loop(); number++ {
 		now = now.Add(time.Second / 7800)
@@ -235,7 +238,9 @@
 		table.grant(now, from, uint64(number+1), reportEntry{
 			Customer: "acme",
 			Demand:   byLevel{1, 1, 1},
-		}, testRate)
+		}, lagoonbarrow.Contract{
+			WorkUnitsPerSecond: testRate,
+		})
 	}
 }
 
@@ -254,3 +259,25 @@
 		ranked.of(time.Unix(1000, 0), "acme")
 	}
 }
+
+// Guards against a burst that is given anew to a customer that pauses until its
+// holders are forgotten, when the burst takes longer than that to fill.
+func TestUsedBurstIsRemembered(t *testing.T) {
+	table := newLedger(DefaultShareLife, time.Time{})
+	terms := lagoonbarrow.Contract{
+		WorkUnitsPerSecond: 1,
+		BurstWorkUnits:     1000,
+	}
+	now := time.Unix(1000, 0)
+	account := table.account("acme")
+	account.refill(now, time.Time{}, terms)
+	account.takeCredit(1000)
+	table.clean(now.Add(time.Minute))
+	if table.account("acme") != account {
+		t.Error("a pool that is not full was dropped")
+	}
+	table.clean(now.Add(time.Hour))
+	if table.account("acme") == account {
+		t.Error("a full pool was kept")
+	}
+}
--- a/internal/process/quota/report.go
+++ b/internal/process/quota/report.go
@@ -112,15 +112,21 @@
 		if now.Sub(present.used) > q.config.ShareLife {
 			continue
 		}
-		if urgentOnly && !q.isUrgent(present, now) {
+		if urgentOnly && !q.isUrgent(present, now) || !urgentOnly && q.mayWait(present, now) {
 			continue
 		}
+		present.demand.plan(now, urgentOnly)
 		present.demand.measure(now, q.shortest())
 		present.demand.reported = now
-		entries = append(entries, reportEntry{
+		entry := reportEntry{
 			Customer: customer,
 			Demand:   present.demand.perSecond,
-		})
+		}
+		if record, found := q.config.Contracts.Lookup(customer); found && record.Contract != nil {
+			present.refill(now, q.limitsOf(record))
+			entry.Missing = present.missing(now, q.limitsOf(record))
+		}
+		entries = append(entries, entry)
 	}
 	return entries
 }
@@ -185,6 +191,9 @@
 		present.refill(now, q.limitsOf(record))
 	}
 	present.held.share = min(present.held.share, entry.Demand.sum())
+	if record, found := q.config.Contracts.Lookup(entry.Customer); found && record.Contract != nil {
+		entry.Returned = present.removeExcess(q.limitsOf(record))
+	}
 	entry.Held = present.held.grant
 	entry.Using = present.held.share
 }
@@ -250,19 +259,18 @@
 // the report was sent, which is before the owner starts to count.
 func (q *Quota) accept(current *batch, got answer) {
 	now := q.config.Now()
-	until := current.sent.Add(q.config.ShareLife)
 	asked := map[lagoonbarrow.CustomerID]bool{}
 	for _, entry := range current.report.Entries {
 		asked[entry.Customer] = true
 	}
 	for _, entry := range got.Entries {
 		if asked[entry.Customer] {
-			q.acceptShare(now, entry, until)
+			q.acceptShare(now, entry, current.sent)
 		}
 	}
 }
 
-func (q *Quota) acceptShare(now time.Time, entry answerEntry, until time.Time) {
+func (q *Quota) acceptShare(now time.Time, entry answerEntry, sent time.Time) {
 	record, found := q.config.Contracts.Lookup(entry.Customer)
 	if !found || record.Contract == nil {
 		return
@@ -278,7 +286,11 @@
 	present.accept(now, holding{
 		grant: entry.Grant,
 		share: entry.Share,
-		until: until,
+		until: sent.Add(q.config.ShareLife),
+	}, allowed)
+	present.acceptCredit(now, credit{
+		units: entry.Credit,
+		until: sent.Add(creditLife),
 	}, allowed)
 	after := present.share(now, allowed)
 	q.mutex.Unlock()
@@ -368,7 +380,7 @@
 		if !found || record.Contract == nil {
 			continue
 		}
-		share, granted := q.ledger.grant(now, by, got.Sequence, entry, record.Contract.WorkUnitsPerSecond)
+		share, granted := q.ledger.grant(now, by, got.Sequence, entry, *record.Contract)
 		if !granted {
 			continue
 		}
