--- a/internal/process/quota/doc.go
+++ b/internal/process/quota/doc.go
@@ -26,6 +26,9 @@
 // answers a node that lacks work with credit. Credit may be admitted once within
 // 500 ms after the report was sent. A node returns the tokens above the capacity
 // of its share, and credit that it does not need, with its next report.
+// Some refusals within the rate remain: 5 % of the work when 0.6 of the rate
+// moves from one node to another each second, 1 % when 0.72 of it moves between
+// two pairs of nodes (TestSwingsWithinTheRate).
 //
 // Bound on the shares in use at any time: the rate times the number of
 // processes that granted shares in the last 3 s (one without faults, two while
