Replace nodes of small services without refusing work

Cause: with two instances a service the rolling replacement refused up to three quarters of the requests: a replaced node kept a quarter of its slots for a second while it waited for a latency baseline and shed what queued, and the next node was stopped before the others knew that the replaced one was ready. Ruled out: load of the machine (it failed on a quiet one), the stop itself (no request in flight was cut). Change: a cold start waits 2 windows for a baseline instead of 10, grows by half instead of a quarter, and allows five times the standing delay; a node that becomes ready tells up to 64 members directly, and /readyz says so only then.

--- a/internal/process/admission/control.go
+++ b/internal/process/admission/control.go
@@ -75,12 +75,20 @@
 	g.publish()
 }
 
+// coldStartDelay is the factor by which the standing delay may be longer during
+// a cold start, in which the queue is worked off by the growing limit.
+const coldStartDelay = 5
+
 // targetDelay is the standing delay that a lane's threshold allows. Where a slot
 // of the lane is freed less often than four times in TargetQueueDelay, a delay of four
 // such intervals is allowed: without calls in the queue, freed slots would idle.
 func (g *Gate) targetDelay(l *lane) time.Duration {
 	interval := l.hold / time.Duration(g.laneLimit(l))
-	return max(g.config.TargetQueueDelay, 4*interval)
+	target := max(g.config.TargetQueueDelay, 4*interval)
+	if !g.limiter.warm {
+		return coldStartDelay * target
+	}
+	return target
 }
 
 // potential is the number of calls that a lane would end in a window with all
--- a/internal/process/admission/limiter.go
+++ b/internal/process/admission/limiter.go
@@ -13,8 +13,13 @@
 	coldStartWindows = 50
 	// coldStartPatience is the number of windows with answers for which the cold
 	// start waits for a first baseline. A baseline taken at all slots would hide
-	// that the backend server is slower there than at a quarter.
-	coldStartPatience = 10
+	// that the backend server is slower there than at a quarter. Ten windows
+	// shed work for a second where two shed none: a node that had just been replaced
+	// refused normal requests that its backend server had room for.
+	coldStartPatience = 2
+	// coldGrowthPart replaces growthPart until the limit has reached the slots
+	// once: a quarter of the slots becomes all of them in four windows.
+	coldGrowthPart = 2
 	// minLimit is the least limit, unless there are fewer slots.
 	minLimit = 2
 	// growthPart: the limit grows by 1/growthPart in each window, so that it is back from
@@ -155,7 +160,11 @@
 	if !l.warm && (l.peak < l.limit || awaitsBaseline) {
 		return
 	}
-	l.limit = min(l.limit+max(1, l.limit/growthPart), l.slots)
+	part := growthPart
+	if !l.warm {
+		part = coldGrowthPart
+	}
+	l.limit = min(l.limit+max(1, l.limit/part), l.slots)
 	if l.limit == l.slots {
 		l.warm = true
 		l.reason = reasonSlots
--- a/internal/process/node/health.go
+++ b/internal/process/node/health.go
@@ -67,10 +67,12 @@
 	known.ready = ready
 	n.handler.SetReady(ready)
 	if !ready {
+		n.announced.Store(false)
 		n.roster.SetState(lagoonbarrow.StateStarting)
 		return
 	}
-	n.roster.SetState(lagoonbarrow.StateReady)
+	n.roster.AnnounceReady(ctx)
+	n.announced.Store(true)
 	n.timeline.Record(event.NodeReady, event.Fields{})
 }
 
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -66,6 +67,8 @@
 	local       *entry.LocalListener
 	admin       *admin.Server
 
+	// announced is set once other nodes were told that this one is ready.
+	announced   atomic.Bool
 	stopHealth  context.CancelFunc
 	healthEnded sync.WaitGroup
 }
--- a/internal/process/node/status.go
+++ b/internal/process/node/status.go
@@ -97,5 +97,8 @@
 	if state != lagoonbarrow.StateReady {
 		return errors.Errorf("the node is %s", state)
 	}
+	if !n.announced.Load() {
+		return errors.New("the other nodes are being told that this one is ready")
+	}
 	return nil
 }
--- a/internal/process/roster/roster.go
+++ b/internal/process/roster/roster.go
@@ -295,3 +295,30 @@
 	found, ok := r.table.lookup(referenceOf(id))
 	return found.Instance, ok
 }
+
+// announced bounds the members that are told directly of this node's readiness.
+// The rest of a large fleet learns of it by gossip, which starts from all of them.
+const announced = 64
+
+// AnnounceReady makes this node ready and tells up to 64 members directly. It
+// returns when they answered or the probe timeout passed. Without it a service
+// of two instances has none for a moment when the other one stops as soon as
+// this one says that it is ready.
+func (r *Roster) AnnounceReady(ctx context.Context) {
+	r.SetState(lagoonbarrow.StateReady)
+	peers := r.table.sample(announced, func(m *member) bool {
+		return m.ref != r.selfRef && m.Status.live() && m.Status.Verdict == verdictAlive
+	})
+	var pending sync.WaitGroup
+	for _, target := range peers {
+		pending.Add(1)
+		submitted := r.submit(func() {
+			defer pending.Done()
+			_ = r.probeDirect(ctx, target)
+		})
+		if !submitted {
+			pending.Done()
+		}
+	}
+	pending.Wait()
+}
--- a/internal/standin/fleet/node.go
+++ b/internal/standin/fleet/node.go
@@ -171,3 +171,8 @@
 	defer n.mu.Unlock()
 	return n.cmd.Process.Pid
 }
+
+// Logs returns what the process has logged.
+func (n *Node) Logs() string {
+	return n.log.String()
+}
