Record claim events once, and answer with the threshold of the call's lane

Cause: the claim package and the handler both recorded claims, so that the time line showed them twice; answers to long work carried the threshold of the short lane; event 504 was recorded nowhere.

--- a/interfaces.go
+++ b/interfaces.go
@@ -122,7 +122,9 @@
 	// Admit waits for a slot. It returns ErrShed or ErrDeadline; in both cases
 	// the call was not run.
 	Admit(ctx context.Context, work Work) (Permit, error)
-	Threshold() Threshold
+	// ThresholdOf returns the lowest priority that is admitted of long or of
+	// short work.
+	ThresholdOf(long bool) Threshold
 	Load() Load
 }
 
--- a/internal/request/call/claim.go
+++ b/internal/request/call/claim.go
@@ -24,7 +24,6 @@
 	case err == nil:
 		answer := lagoonbarrow.Refuse(sent.ID, lagoonbarrow.ReasonVoided)
 		answer.RowVersion = row.Version
-		a.caller.record(event.ClaimVoided, sent, "", "answer lost")
 		return answer
 	case errors.Is(err, lagoonbarrow.ErrClaimed):
 		return a.caller.awaitClaim(ctx, sent, row)
@@ -32,7 +31,6 @@
 		// The row has moved past the version that the attempt expected.
 		return lagoonbarrow.Refuse(sent.ID, lagoonbarrow.ReasonMismatch)
 	default:
-		a.caller.record(event.ClaimUnknown, sent, "", err.Error())
 		return unknown(sent.ID, lagoonbarrow.ReasonPlatform)
 	}
 }
--- a/internal/request/call/fakes_test.go
+++ b/internal/request/call/fakes_test.go
@@ -143,7 +143,7 @@
 	return func() { f.waiting-- }
 }
 
-func (f *fakeParts) Threshold() lagoonbarrow.Threshold { return 7 }
+func (f *fakeParts) ThresholdOf(bool) lagoonbarrow.Threshold { return 7 }
 
 func (f *fakeParts) Load() lagoonbarrow.Load { return lagoonbarrow.Load{} }
 
--- a/internal/request/call/handler.go
+++ b/internal/request/call/handler.go
@@ -83,7 +83,7 @@
 	answer := h.serve(ctx, call, deadline)
 	answer.Call = call.ID
 	answer.Load = h.config.Admission.Load()
-	answer.Threshold = max(answer.Threshold, h.config.Admission.Threshold())
+	answer.Threshold = max(answer.Threshold, h.config.Admission.ThresholdOf(call.Long))
 	answer.Stamp = h.config.Clock.Now()
 	return answer
 }
@@ -180,7 +180,6 @@
 	if err != nil {
 		return h.notTaken(ctx, call, claim, err), false
 	}
-	h.record(event.ClaimTaken, call, "")
 	if ctx.Err() != nil {
 		// Nothing was run yet, so the key is freed for the caller's next try.
 		answer = lagoonbarrow.Refuse(call.ID, endReason(ctx))
@@ -242,16 +241,13 @@
 		answer.RowVersion = claim.Version
 		return answer
 	case errors.Is(err, lagoonbarrow.ErrClaimed) && claim.State == lagoonbarrow.ClaimCompleted && claim.Answer != nil:
-		h.record(event.ClaimRepeated, call, "")
 		answer := *claim.Answer
 		return &answer
 	case errors.Is(err, lagoonbarrow.ErrClaimed):
-		h.record(event.ClaimRefused, call, string(claim.Attempt))
 		return unknown(call.ID, lagoonbarrow.ReasonClaimed)
 	case errors.Is(err, lagoonbarrow.ErrDeadline):
 		return lagoonbarrow.Refuse(call.ID, lagoonbarrow.ReasonDeadline)
 	default:
-		h.record(event.ClaimRefused, call, err.Error())
 		return lagoonbarrow.Refuse(call.ID, endReason(ctx))
 	}
 }
--- a/internal/request/claim/finish.go
+++ b/internal/request/claim/finish.go
@@ -177,14 +177,11 @@
 }
 
 func (c *Claims) noteEnded(ended *job) {
-	kind := event.ClaimVoided
 	if ended.row.State == lagoonbarrow.ClaimCompleted {
-		kind = event.ClaimCompleted
 		c.metrics.completed.Inc(1)
-	} else {
-		c.metrics.voided.Inc(1)
+		return
 	}
-	c.note(kind, "", ended.of.customer, string(ended.row.Attempt))
+	c.metrics.voided.Inc(1)
 }
 
 // noteAbandoned reports a write that is given up: the row stays as it is and
--- a/pkg/event/catalogue_call.go
+++ b/pkg/event/catalogue_call.go
@@ -26,12 +26,6 @@
 		Name:    "call-sent",
 		Meaning: "a call was sent to an instance",
 	}
-	// CallReceived: a call arrived from another node.
-	CallReceived = Kind{
-		Number:  504,
-		Name:    "call-received",
-		Meaning: "a call arrived from another node",
-	}
 	// CallRun: a call was sent to the backend server.
 	CallRun = Kind{
 		Number:  505,
@@ -69,7 +63,6 @@
 	RequestRefused,
 	RequestEnded,
 	CallSent,
-	CallReceived,
 	CallRun,
 	CallEnded,
 	CallRetried,
