Refuse new work in a superseded process

Cause: when a later process runs under the same instance id, the older one only logged it; two nodes beside one backend server would admit twice its slots. Change: it refuses new calls as leaving and records event 207.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -161,6 +161,7 @@
 		Logger:        n.logger.Named("roster"),
 		LocalGossip:   n.localGossip,
 		OnGossip:      n.onGossip,
+		OnSuperseded:  n.onSuperseded,
 		ProbeInterval: n.settings.ProbeInterval,
 	})
 	if err != nil {
@@ -212,6 +213,13 @@
 	n.distributor.Observe(from, gossip.Revision, gossip.HeadAge, gossip.HeadAge >= 0)
 }
 
+// onSuperseded refuses new work: the later process serves this instance's
+// backend server, and two nodes beside it would admit twice its slots.
+func (n *Node) onSuperseded() {
+	n.handler.Leave()
+	n.timeline.Record(event.Superseded, event.Fields{})
+}
+
 // buildRequestPath builds what a request passes through.
 func (n *Node) buildRequestPath() error {
 	var err error
--- a/pkg/event/catalogue_roster.go
+++ b/pkg/event/catalogue_roster.go
@@ -44,6 +44,12 @@
 		Name:    "registered",
 		Meaning: "this node's row was written to the platform's table",
 	}
+	// Superseded: a later process runs under this instance's id, so this one refuses new work.
+	Superseded = Kind{
+		Number:  207,
+		Name:    "superseded",
+		Meaning: "a later process runs under this instance's id, so this one refuses new work",
+	}
 )
 
 var rosterKinds = []Kind{
@@ -54,4 +60,5 @@
 	MemberLeft,
 	MemberRefuted,
 	Registered,
+	Superseded,
 }
