--- a/internal/process/platform/config_defaults.go
+++ b/internal/process/platform/config_defaults.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -18,29 +19,15 @@
 	defaultProbeInterval = time.Second
 )
 
-func positive(value, standard int) int {
-	if value > 0 {
-		return value
-	}
-	return standard
-}
-
-func positiveDuration(value, standard time.Duration) time.Duration {
-	if value > 0 {
-		return value
-	}
-	return standard
-}
-
 func (c Config) withDefaults() Config {
-	c.Timeout = positiveDuration(c.Timeout, defaultTimeout)
-	c.DialTimeout = positiveDuration(c.DialTimeout, defaultDialTimeout)
-	c.ProbeInterval = positiveDuration(c.ProbeInterval, defaultProbeInterval)
-	c.Concurrency = positive(c.Concurrency, defaultConcurrency)
-	c.Waiting = positive(c.Waiting, defaultWaiting)
-	c.BatchWrites = positive(c.BatchWrites, defaultBatchWrites)
-	c.BatchBytes = positive(c.BatchBytes, defaultBatchBytes)
-	c.FailureLimit = positive(c.FailureLimit, defaultFailureLimit)
+	c.Timeout = cmp.Or(c.Timeout, defaultTimeout)
+	c.DialTimeout = cmp.Or(c.DialTimeout, defaultDialTimeout)
+	c.ProbeInterval = cmp.Or(c.ProbeInterval, defaultProbeInterval)
+	c.Concurrency = cmp.Or(c.Concurrency, defaultConcurrency)
+	c.Waiting = cmp.Or(c.Waiting, defaultWaiting)
+	c.BatchWrites = cmp.Or(c.BatchWrites, defaultBatchWrites)
+	c.BatchBytes = cmp.Or(c.BatchBytes, defaultBatchBytes)
+	c.FailureLimit = cmp.Or(c.FailureLimit, defaultFailureLimit)
 	if c.Scope == nil {
 		c.Scope = tally.NoopScope
 	}
--- a/internal/request/claim/config_defaults.go
+++ b/internal/request/claim/config_defaults.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -19,30 +20,16 @@
 	defaultStopTimeout     = 2 * time.Second
 )
 
-func positive(value, standard int) int {
-	if value > 0 {
-		return value
-	}
-	return standard
-}
-
-func positiveDuration(value, standard time.Duration) time.Duration {
-	if value > 0 {
-		return value
-	}
-	return standard
-}
-
 func (c Config) withDefaults() Config {
-	c.CompleteTimeout = positiveDuration(c.CompleteTimeout, defaultCompleteTimeout)
-	c.SettleMargin = positiveDuration(c.SettleMargin, defaultSettleMargin)
-	c.RetryDelay = positiveDuration(c.RetryDelay, defaultRetryDelay)
-	c.RetryDelayMax = positiveDuration(c.RetryDelayMax, defaultRetryDelayMax)
-	c.StopTimeout = positiveDuration(c.StopTimeout, defaultStopTimeout)
-	c.AnswerBytes = positive(c.AnswerBytes, defaultAnswerBytes)
-	c.QueueLength = positive(c.QueueLength, defaultQueueLength)
-	c.QueueBytes = positive(c.QueueBytes, defaultQueueBytes)
-	c.Workers = positive(c.Workers, defaultWorkers)
+	c.CompleteTimeout = cmp.Or(c.CompleteTimeout, defaultCompleteTimeout)
+	c.SettleMargin = cmp.Or(c.SettleMargin, defaultSettleMargin)
+	c.RetryDelay = cmp.Or(c.RetryDelay, defaultRetryDelay)
+	c.RetryDelayMax = cmp.Or(c.RetryDelayMax, defaultRetryDelayMax)
+	c.StopTimeout = cmp.Or(c.StopTimeout, defaultStopTimeout)
+	c.AnswerBytes = cmp.Or(c.AnswerBytes, defaultAnswerBytes)
+	c.QueueLength = cmp.Or(c.QueueLength, defaultQueueLength)
+	c.QueueBytes = cmp.Or(c.QueueBytes, defaultQueueBytes)
+	c.Workers = cmp.Or(c.Workers, defaultWorkers)
 	if c.Now == nil {
 		c.Now = time.Now
 	}
