--- a/internal/bench/control.go
+++ b/internal/bench/control.go
@@ -7,9 +7,10 @@
 	"runtime"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
+	"github.com/alitto/pond/v2"
+
 	"lagoonbarrow"
 	"lagoonbarrow/internal/standin/fleet"
 )
@@ -258,20 +259,15 @@
 	})
 }
 
-// eachNode runs a task for every node, as many at once as there are cores.
+// eachNode runs a task for every node, a few for each core at once.
 func eachNode(nodes []*fleet.Node, task func(node *fleet.Node)) {
-	slots := make(chan struct{}, 2*runtime.NumCPU())
-	var pending sync.WaitGroup
+	workers := pond.NewPool(2 * runtime.NumCPU())
 	for _, node := range nodes {
-		pending.Add(1)
-		slots <- struct{}{}
-		go func() {
-			defer pending.Done()
+		workers.Submit(func() {
 			task(node)
-			<-slots
-		}()
+		})
 	}
-	pending.Wait()
+	workers.StopAndWait()
 }
 
 func (r *runner) costSeries(costs []cost) {
