Run all tests anew in make test

Cause: the proofs build the node binary at run time, which Go's test cache does not see; a change of the node alone left their cached verdict in place. Change: make test runs with -count=1.

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 	bash scripts/demo.sh --keep
 
 test:
-	$(GO) test -race -timeout 20m ./...
+	$(GO) test -race -count=1 -timeout 20m ./...
 
 lint:
 	@out="$$($(GO) tool gofumpt -l .)"; if [ -n "$$out" ]; then echo "gofumpt would change:"; echo "$$out"; exit 1; fi
