Count an instance's silence from its last answer

Cause: an attempt whose instance answered another call after it was sent was never taken for silent, so it waited for its deadline when the instance froze then. Change: silence counts from the last answer or the sending, whichever is later.

--- a/internal/request/call/silent.go
+++ b/internal/request/call/silent.go
@@ -115,14 +115,24 @@
 	}
 }
 
-// silent returns the attempts older than silentAfter at instances that have not
-// answered since. Instances without attempts are forgotten.
+// lastSign is when the attempt was sent or its instance last answered any call,
+// whichever was later. The caller holds the lock.
+func (s *silentWatch) lastSign(current *watched) time.Time {
+	heard := s.heard[current.instance]
+	if heard.After(current.sent) {
+		return heard
+	}
+	return current.sent
+}
+
+// silent returns the attempts at instances that gave no answer for silentAfter.
+// Instances that have not answered for a minute are forgotten.
 func (s *silentWatch) silent(now time.Time) map[lagoonbarrow.InstanceID][]*watched {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	found := map[lagoonbarrow.InstanceID][]*watched{}
 	for current := range s.attempts {
-		if now.Sub(current.sent) > silentAfter && s.heard[current.instance].Before(current.sent) {
+		if now.Sub(s.lastSign(current)) > silentAfter {
 			found[current.instance] = append(found[current.instance], current)
 		}
 	}
