Add the sidecar process for the users' platform

Cause: the node spoke only the project's own stand-in of the platform.

The adapter in platform/ translates settings, store, configuration, heartbeats and header names. The product gains routes by host and prefix, a directory of instances kept as rows of the store, a gate by declared slots, placement by zone, load, latency and failures, and a budget for repeated sends. Idempotency claims are not on this path: requests carry no key, and a request is sent to a server once at most unless the server or its node says that it was not run.

--- a/call.go
+++ b/call.go
@@ -106,10 +106,20 @@
 	// ExpectedRow is the version at which the claim row may be taken.
 	ExpectedRow RowVersion    `msgpack:"expected-row,omitempty"`
 	Service     ServiceName   `msgpack:"service"`
+	Host        string        `msgpack:"host,omitempty"`
 	Method      string        `msgpack:"method"`
 	Path        string        `msgpack:"path"`
 	Header      []HeaderField `msgpack:"header,omitempty"`
 	Body        []byte        `msgpack:"body,omitempty"`
+	// Server makes every other backend server refuse the call. The node beside
+	// the server sets it.
+	Server ServerID `msgpack:"-"`
+	// Nested is set on calls that a backend server makes for a request it is running.
+	Nested bool `msgpack:"nested,omitempty"`
+	// MaxWait is the longest time that the call may wait for a slot.
+	MaxWait time.Duration `msgpack:"max-wait,omitempty"`
+	// Configuration is the highest version that the sender knows.
+	Configuration ConfigurationVersion `msgpack:"configuration,omitempty"`
 }
 
 // Safe reports whether the call's method is safe in the sense of RFC 9110, so
@@ -138,6 +148,10 @@
 	RetryAfter time.Duration `msgpack:"retry-after,omitempty"`
 	// Stamp carries the sender's hybrid logical clock.
 	Stamp event.Stamp `msgpack:"stamp"`
+	// Offered tells that the call was sent to a backend server, whatever came of it.
+	Offered bool `msgpack:"offered,omitempty"`
+	// Configuration is the highest version that the callee knows.
+	Configuration ConfigurationVersion `msgpack:"configuration,omitempty"`
 }
 
 // Refuse returns an answer for a call that was not run.
--- a/errors.go
+++ b/errors.go
@@ -42,6 +42,8 @@
 	ErrFrame = errors.New("damaged frame")
 	// ErrTooLarge: a body or frame exceeds its limit.
 	ErrTooLarge = errors.New("too large")
+	// ErrHistoryLost: the platform no longer knows the changes that were asked for.
+	ErrHistoryLost = errors.New("history lost")
 	// ErrStopping: the process is stopping.
 	ErrStopping = errors.New("stopping")
 )
--- a/internal/cli/app.go
+++ b/internal/cli/app.go
@@ -34,6 +34,7 @@
 		ExitErrHandler: func(*cli.Context, error) {},
 		Commands: []*cli.Command{
 			nodeCommand(),
+			sidecarCommand(),
 			checkSettingsCommand(),
 			contractCommand(),
 			statusCommand(),
--- /dev/null
+++ b/internal/cli/sidecar.go
@@ -0,0 +1,104 @@
+package cli
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/urfave/cli/v2"
+
+	"lagoonbarrow/internal/process/logging"
+	"lagoonbarrow/internal/process/sidecar"
+	"lagoonbarrow/platform"
+)
+
+// memoryPart is the part of the process's memory limit at which the garbage
+// collector works harder.
+const memoryPart = 0.7
+
+func sidecarCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "sidecar",
+		Usage:     "run the process beside a backend server of the users' platform until SIGTERM",
+		UsageText: "lagoonbarrow sidecar [--settings FILE]",
+		Flags: []cli.Flag{
+			&cli.StringFlag{
+				Name:    "settings",
+				Usage:   "the platform's settings `FILE`",
+				EnvVars: []string{platform.SettingsVariable},
+				Value:   platform.SettingsPath,
+			},
+		},
+		Action: runSidecar,
+	}
+}
+
+func runSidecar(command *cli.Context) error {
+	path := command.String("settings")
+	settings, err := platform.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	debug.SetMemoryLimit(int64(memoryPart * float64(settings.MemoryBytes)))
+	lines := logging.NewWriter(os.Stdout)
+	defer lines.Close()
+	logger := hclog.New(&hclog.LoggerOptions{
+		Name:       string(settings.Instance),
+		Level:      hclog.Info,
+		Output:     lines,
+		JSONFormat: true,
+	})
+	process, err := sidecar.New(sidecar.Config{
+		Settings: settings,
+		Store: platform.NewStore(platform.StoreConfig{
+			Address: settings.Store,
+			Logger:  logger.Named("store"),
+		}),
+		Configuration:    platform.Configuration(),
+		Headers:          platform.Headers(),
+		HeartbeatHandler: platform.HeartbeatHandler,
+		Logger:           logger,
+	})
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	ctx, cancel := context.WithCancel(command.Context)
+	defer cancel()
+	started := make(chan error, 1)
+	go func() {
+		started <- process.Start(ctx)
+	}()
+	for {
+		select {
+		case err := <-started:
+			if err != nil {
+				return err
+			}
+			started = nil
+		case received := <-signals:
+			if received == syscall.SIGHUP {
+				reloadSettings(path, logger)
+				continue
+			}
+			cancel()
+			process.Stop()
+			return nil
+		}
+	}
+}
+
+// reloadSettings checks the changed settings file. What a process may take up
+// while it runs is read anew at its next start.
+func reloadSettings(path string, logger hclog.Logger) {
+	settings, err := platform.LoadSettings(path)
+	if err != nil {
+		logger.Error("the changed settings file is not valid; the present settings stay", "error", err)
+		return
+	}
+	logger.Info("the settings file was read again", "service", settings.Service, "store", settings.Store)
+}
--- /dev/null
+++ b/internal/process/directory/directory.go
@@ -0,0 +1,131 @@
+package directory
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/hashicorp/go-hclog"
+
+	"lagoonbarrow"
+)
+
+// Config configures a Directory.
+type Config struct {
+	Self   lagoonbarrow.InstanceID
+	Logger hclog.Logger
+	// OwnRow is told the version of this node's row, 0 when it does not exist.
+	OwnRow func(version lagoonbarrow.RowVersion)
+	// Changed is told the ids of all instances after a change.
+	Changed func(ids map[lagoonbarrow.InstanceID]bool)
+}
+
+// Directory holds the instances as the rows of the store tell.
+type Directory struct {
+	config Config
+
+	mu      sync.Mutex
+	entries map[lagoonbarrow.InstanceID]lagoonbarrow.Instance
+	// ready holds the ready instances by service; a change replaces it.
+	ready atomic.Pointer[map[lagoonbarrow.ServiceName][]lagoonbarrow.Instance]
+	known atomic.Bool
+}
+
+// New returns an empty directory.
+func New(config Config) *Directory {
+	directory := &Directory{
+		config:  config,
+		entries: map[lagoonbarrow.InstanceID]lagoonbarrow.Instance{},
+	}
+	directory.ready.Store(&map[lagoonbarrow.ServiceName][]lagoonbarrow.Instance{})
+	return directory
+}
+
+// Ready reports whether the rows were read once.
+func (d *Directory) Ready() bool {
+	return d.known.Load()
+}
+
+// Instances returns the ready instances of a service. The slice must not be changed.
+func (d *Directory) Instances(service lagoonbarrow.ServiceName) []lagoonbarrow.Instance {
+	return (*d.ready.Load())[service]
+}
+
+// Replace takes all rows of the store.
+func (d *Directory) Replace(rows []lagoonbarrow.Row) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	own := lagoonbarrow.RowVersion(0)
+	before := d.entries
+	d.entries = map[lagoonbarrow.InstanceID]lagoonbarrow.Instance{}
+	for _, row := range rows {
+		if row.Key == string(d.config.Self) {
+			own = row.Version
+			continue
+		}
+		d.put(row)
+	}
+	if self, known := before[d.config.Self]; known {
+		d.entries[d.config.Self] = self
+	}
+	d.config.OwnRow(own)
+	d.publish()
+	d.known.Store(true)
+}
+
+// Apply takes changes of rows in their order.
+func (d *Directory) Apply(changes []lagoonbarrow.Change) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, change := range changes {
+		d.apply(change)
+	}
+	d.publish()
+}
+
+func (d *Directory) apply(change lagoonbarrow.Change) {
+	id := lagoonbarrow.InstanceID(change.Row.Key)
+	switch {
+	case id == d.config.Self && change.Deleted:
+		d.config.OwnRow(0)
+	case id == d.config.Self:
+		d.config.OwnRow(change.Row.Version)
+	case change.Deleted:
+		delete(d.entries, id)
+	default:
+		d.put(change.Row)
+	}
+}
+
+// put takes a row of another instance. A row that can't be read changes nothing.
+func (d *Directory) put(row lagoonbarrow.Row) {
+	instance, err := decode(row)
+	if err != nil {
+		d.config.Logger.Warn("skipped an instance row", "key", row.Key, "version", row.Version, "error", err)
+		return
+	}
+	d.entries[instance.ID] = instance
+}
+
+// SetSelf takes this node's own instance, which is known here before its row is.
+func (d *Directory) SetSelf(self lagoonbarrow.Instance) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.entries[self.ID] = self
+	d.publish()
+}
+
+// publish makes the changes visible. The caller holds the mutex.
+func (d *Directory) publish() {
+	ready := map[lagoonbarrow.ServiceName][]lagoonbarrow.Instance{}
+	ids := map[lagoonbarrow.InstanceID]bool{}
+	for id, instance := range d.entries {
+		ids[id] = true
+		if instance.State == lagoonbarrow.StateReady {
+			ready[instance.Service] = append(ready[instance.Service], instance)
+		}
+	}
+	d.ready.Store(&ready)
+	if d.config.Changed != nil {
+		d.config.Changed(ids)
+	}
+}
--- /dev/null
+++ b/internal/process/directory/record.go
@@ -0,0 +1,65 @@
+// Package directory knows the instances of all services. Each node keeps one row
+// for its instance in the platform's store, and all nodes follow these rows.
+package directory
+
+import (
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"lagoonbarrow"
+)
+
+// Table holds the rows of all instances. A row's key is the instance's id.
+const Table = "lagoonbarrow-instances"
+
+// record is the value of an instance's row.
+type record struct {
+	Service lagoonbarrow.ServiceName `json:"service"`
+	Zone    lagoonbarrow.Zone        `json:"zone"`
+	Region  lagoonbarrow.Region      `json:"region"`
+	Peer    lagoonbarrow.Address     `json:"peer"`
+	Slots   int                      `json:"slots"`
+	State   string                   `json:"state"`
+	Server  lagoonbarrow.ServerID    `json:"server"`
+}
+
+// Encode returns the value of an instance's row. The server's id tells the starts
+// of the backend server apart.
+func Encode(instance lagoonbarrow.Instance, server lagoonbarrow.ServerID) ([]byte, error) {
+	value, err := json.Marshal(record{
+		Service: instance.Service,
+		Zone:    instance.Zone,
+		Region:  instance.Region,
+		Peer:    instance.Peer,
+		Slots:   instance.Slots,
+		State:   instance.State.String(),
+		Server:  server,
+	})
+	return value, errors.Wrap(err, "directory: encode row")
+}
+
+// decode returns ErrInvalid for a row that names no usable instance; another
+// writer may have made it.
+func decode(row lagoonbarrow.Row) (lagoonbarrow.Instance, error) {
+	var decoded record
+	if err := json.Unmarshal(row.Value, &decoded); err != nil {
+		return lagoonbarrow.Instance{}, errors.Wrapf(lagoonbarrow.ErrInvalid, "directory: decode row: %v", err)
+	}
+	if row.Key == "" || decoded.Service == "" || decoded.Peer == "" || decoded.Slots < 1 {
+		return lagoonbarrow.Instance{}, errors.Wrap(lagoonbarrow.ErrInvalid, "directory: row lacks a field")
+	}
+	state := lagoonbarrow.StateLeaving
+	if decoded.State == lagoonbarrow.StateReady.String() {
+		state = lagoonbarrow.StateReady
+	}
+	return lagoonbarrow.Instance{
+		ID:      lagoonbarrow.InstanceID(row.Key),
+		Service: decoded.Service,
+		Zone:    decoded.Zone,
+		Region:  decoded.Region,
+		Peer:    decoded.Peer,
+		Slots:   decoded.Slots,
+		State:   state,
+	}, nil
+}
--- /dev/null
+++ b/internal/process/follower/follower.go
@@ -0,0 +1,157 @@
+// Package follower keeps a copy of a table of the platform's store up to date.
+package follower
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"lagoonbarrow"
+	"lagoonbarrow/internal/process/backoff"
+)
+
+const (
+	// firstPause and lastPause bound the wait after a failed call. Entries have to be
+	// back within two seconds of the store's return.
+	firstPause = 100 * time.Millisecond
+	lastPause  = time.Second
+)
+
+// Config configures a Follower.
+type Config struct {
+	Feed  lagoonbarrow.ChangeFeed
+	Table string
+	// Wait is how long one call waits for changes. A silent connection is noticed
+	// when that time has passed.
+	Wait time.Duration
+	// Replace takes all rows, Apply changes in their order.
+	Replace func(rows []lagoonbarrow.Row)
+	Apply   func(changes []lagoonbarrow.Change)
+	Logger  hclog.Logger
+}
+
+// Follower follows one table from Start until Stop.
+type Follower struct {
+	config Config
+	// refresh asks for a new reading of all rows.
+	refresh chan struct{}
+	cancel  context.CancelFunc
+	ended   sync.WaitGroup
+	// failing is set between a failed and the next successful call.
+	failing bool
+}
+
+// New returns a follower that is not started yet.
+func New(config Config) *Follower {
+	return &Follower{
+		config:  config,
+		refresh: make(chan struct{}, 1),
+	}
+}
+
+// Start begins to follow.
+func (f *Follower) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	f.cancel = cancel
+	f.ended.Add(2)
+	go func() {
+		defer f.ended.Done()
+		f.run(ctx)
+	}()
+	go func() {
+		defer f.ended.Done()
+		f.refreshes(ctx)
+	}()
+}
+
+// Stop ends following. A call under way ends with its time limit.
+func (f *Follower) Stop() {
+	f.cancel()
+}
+
+// Refresh reads all rows soon, beside the wait for changes. It is for nodes that
+// learn from another one that the table has changed.
+func (f *Follower) Refresh() {
+	select {
+	case f.refresh <- struct{}{}:
+	default:
+	}
+}
+
+func (f *Follower) refreshes(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.refresh:
+		}
+		rows, _, err := f.config.Feed.Rows(ctx, f.config.Table)
+		if err != nil {
+			f.config.Logger.Warn("refresh of a table failed", "table", f.config.Table, "error", err)
+			backoff.Pause(ctx, lastPause)
+			continue
+		}
+		f.config.Replace(rows)
+	}
+}
+
+func (f *Follower) run(ctx context.Context) {
+	version := lagoonbarrow.RowVersion(0)
+	known := false
+	wait := backoff.New(backoff.Config{
+		First: firstPause,
+		Last:  lastPause,
+	})
+	for ctx.Err() == nil {
+		next, err := f.step(ctx, version, known)
+		f.note(err)
+		switch {
+		case errors.Is(err, lagoonbarrow.ErrHistoryLost):
+			known = false
+		case err != nil:
+			wait.Wait(ctx)
+		default:
+			version = next
+			known = true
+			wait.Reset()
+		}
+	}
+}
+
+// step reads all rows unless the version of the last reading is known, and then
+// waits for changes. It returns the version to continue from.
+func (f *Follower) step(ctx context.Context, version lagoonbarrow.RowVersion, known bool) (lagoonbarrow.RowVersion, error) {
+	if !known {
+		rows, read, err := f.config.Feed.Rows(ctx, f.config.Table)
+		if err != nil {
+			return 0, err
+		}
+		f.config.Replace(rows)
+		return read, nil
+	}
+	changes, next, err := f.config.Feed.Changes(ctx, f.config.Table, version, f.config.Wait)
+	if err != nil {
+		return 0, err
+	}
+	if len(changes) > 0 {
+		f.config.Apply(changes)
+	}
+	return max(next, version), nil
+}
+
+// note logs when the table is lost and when it is back.
+func (f *Follower) note(err error) {
+	failed := err != nil
+	if failed == f.failing {
+		return
+	}
+	f.failing = failed
+	if failed {
+		f.config.Logger.Warn("lost the feed of a table", "table", f.config.Table, "error", err)
+		return
+	}
+	f.config.Logger.Info("regained the feed of a table", "table", f.config.Table)
+}
--- a/internal/process/node/stop.go
+++ b/internal/process/node/stop.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/process/backoff"
 	"lagoonbarrow/pkg/event"
 )
 
@@ -39,7 +40,7 @@
 		return
 	}
 	n.customers.Drain()
-	pause(ctx, drainTime)
+	backoff.Pause(ctx, drainTime)
 	if err := n.customers.Stop(ctx); err != nil {
 		n.logger.Warn("entry listener stopped with requests in progress", "error", err)
 	}
@@ -51,7 +52,7 @@
 			n.timeline.Record(event.StopTimeout, event.Fields{})
 			return
 		}
-		pause(ctx, stopPoll)
+		backoff.Pause(ctx, stopPoll)
 	}
 }
 
@@ -77,15 +78,6 @@
 	}
 }
 
-func pause(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // warnOpenListeners records listeners that accept connections on all addresses.
 func (n *Node) warnOpenListeners() {
 	addresses := []lagoonbarrow.Address{
--- /dev/null
+++ b/internal/process/registration/row.go
@@ -0,0 +1,169 @@
+package registration
+
+import (
+	"bytes"
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"lagoonbarrow"
+	"lagoonbarrow/internal/process/backoff"
+)
+
+const (
+	// firstPause and lastPause bound the wait after a failed write. Rows have to be
+	// back within two seconds of the store's return.
+	firstPause = 100 * time.Millisecond
+	lastPause  = time.Second
+)
+
+// RowConfig configures a RowKeeper.
+type RowConfig struct {
+	Store  lagoonbarrow.RowStore
+	Table  string
+	Key    string
+	Logger hclog.Logger
+}
+
+// RowKeeper writes a row until the store holds the wanted value. Every write names
+// the version that it replaces, so that one that is performed late changes nothing.
+type RowKeeper struct {
+	config RowConfig
+	wake   chan struct{}
+	cancel context.CancelFunc
+	ended  sync.WaitGroup
+
+	mu     sync.Mutex
+	wanted []byte
+	// written is the value of the last successful write, and version its version.
+	written []byte
+	version lagoonbarrow.RowVersion
+	// seen is set once the store's version is known.
+	seen bool
+}
+
+// NewRowKeeper returns a keeper that writes nothing before Want.
+func NewRowKeeper(config RowConfig) *RowKeeper {
+	return &RowKeeper{
+		config: config,
+		wake:   make(chan struct{}, 1),
+	}
+}
+
+// Start begins to write.
+func (k *RowKeeper) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	k.cancel = cancel
+	k.ended.Add(1)
+	go func() {
+		defer k.ended.Done()
+		k.run(ctx)
+	}()
+}
+
+// Stop ends writing; a write under way ends with its time limit.
+func (k *RowKeeper) Stop() {
+	k.cancel()
+}
+
+// Want sets the value that the row shall have.
+func (k *RowKeeper) Want(value []byte) {
+	k.mu.Lock()
+	k.wanted = value
+	k.mu.Unlock()
+	k.signal()
+}
+
+// Seen tells the version of the row in the store, 0 when it does not exist.
+func (k *RowKeeper) Seen(version lagoonbarrow.RowVersion) {
+	k.mu.Lock()
+	if version != k.version && (version > k.version || version == 0) {
+		// Another writer, an earlier process of this node or a late write of it.
+		k.written = nil
+		k.version = version
+	}
+	k.seen = true
+	k.mu.Unlock()
+	k.signal()
+}
+
+func (k *RowKeeper) signal() {
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (k *RowKeeper) run(ctx context.Context) {
+	wait := backoff.New(backoff.Config{
+		First: firstPause,
+		Last:  lastPause,
+	})
+	for ctx.Err() == nil {
+		write, needed := k.next()
+		if !needed {
+			select {
+			case <-ctx.Done():
+			case <-k.wake:
+			}
+			continue
+		}
+		version, err := k.config.Store.Put(ctx, write)
+		if err == nil {
+			k.done(write.Value, version)
+			wait.Reset()
+			continue
+		}
+		k.config.Logger.Warn("writing the node's row failed", "version", write.Expected, "error", err)
+		if errors.Is(err, lagoonbarrow.ErrConflict) || errors.Is(err, lagoonbarrow.ErrOutcomeUnknown) {
+			k.reread(ctx)
+		}
+		wait.Wait(ctx)
+	}
+}
+
+// next returns the write that is needed.
+func (k *RowKeeper) next() (lagoonbarrow.Write, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.seen || k.wanted == nil || bytes.Equal(k.wanted, k.written) {
+		return lagoonbarrow.Write{}, false
+	}
+	return lagoonbarrow.Write{
+		Table:    k.config.Table,
+		Key:      k.config.Key,
+		Expected: k.version,
+		Value:    k.wanted,
+	}, true
+}
+
+func (k *RowKeeper) done(value []byte, version lagoonbarrow.RowVersion) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if version >= k.version {
+		k.written = value
+		k.version = version
+	}
+}
+
+// reread settles what became of a write.
+func (k *RowKeeper) reread(ctx context.Context) {
+	rows, _, err := k.config.Store.Rows(ctx, k.config.Table)
+	if err != nil {
+		k.config.Logger.Warn("reading the node's row failed", "error", err)
+		return
+	}
+	for _, row := range rows {
+		if row.Key == k.config.Key {
+			k.mu.Lock()
+			k.version = row.Version
+			k.written = row.Value
+			k.mu.Unlock()
+			return
+		}
+	}
+	k.Seen(0)
+}
--- /dev/null
+++ b/internal/process/sidecar/run.go
@@ -0,0 +1,129 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"lagoonbarrow/internal/process/backoff"
+	"lagoonbarrow/pkg/event"
+)
+
+const (
+	// noticeTime is how long clients may take to notice that a node is not ready any
+	// more: two checks, a second apart.
+	noticeTime = 2500 * time.Millisecond
+	// quietTime without requests ends the stop early.
+	quietTime = 500 * time.Millisecond
+	// acceptPart and endPart are the parts of the stop's time limit after which no
+	// request is accepted and the process ends.
+	acceptPart = 0.6
+	endPart    = 0.9
+	// stopPoll is the time between two looks at the requests in progress.
+	stopPoll = 20 * time.Millisecond
+	// closeTimeout bounds closing the listeners once nothing is in progress.
+	closeTimeout = 200 * time.Millisecond
+)
+
+// Start starts all parts. Requests are refused as not run until a configuration
+// and the instances are known.
+func (s *Sidecar) Start(ctx context.Context) error {
+	s.timeline.Record(event.NodeStarted, event.Fields{
+		Detail: string(s.settings.Service) + " in " + string(s.settings.Zone),
+	})
+	for _, listener := range []*control{s.heartbeats, s.ready, s.scrape} {
+		if err := listener.start(); err != nil {
+			return err
+		}
+	}
+	if _, err := s.requests.Start(); err != nil {
+		return err
+	}
+	s.row.Start()
+	for _, part := range s.followers {
+		part.Start()
+	}
+	key, err := s.keys.wait(ctx)
+	if err != nil {
+		return err
+	}
+	if err := s.buildPeers(key); err != nil {
+		return err
+	}
+	if _, err := s.server.Start(); err != nil {
+		return errors.Wrap(err, "sidecar: start peer server")
+	}
+	s.keys.found.Store(true)
+	return nil
+}
+
+// serveReady answers 200 while this node takes requests.
+func (s *Sidecar) serveReady(http *fasthttp.RequestCtx) {
+	if s.stopping.Load() || !s.routes.Ready() || !s.directory.Ready() || !s.keys.known() {
+		http.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	}
+}
+
+// Stop stops gracefully: other nodes send no more calls, clients are asked to go
+// elsewhere and are served until they have, and all that is in progress ends. The
+// wait is bounded by the settings.
+func (s *Sidecar) Stop() {
+	began := time.Now()
+	s.timeline.Record(event.NodeStopping, event.Fields{})
+	s.stopping.Store(true)
+	s.handler.Close()
+	s.requests.Drain()
+	server, known := s.registration.Current()
+	if known {
+		s.serverChanged(server, false)
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(s.part(endPart)))
+	defer cancel()
+	s.awaitQuiet(ctx, began)
+	s.close()
+	s.timeline.Record(event.NodeStopped, event.Fields{})
+}
+
+// part returns a part of the stop's time limit.
+func (s *Sidecar) part(part float64) time.Duration {
+	return time.Duration(part * float64(s.settings.StopTimeout))
+}
+
+// awaitQuiet waits until clients have gone and all requests have ended.
+func (s *Sidecar) awaitQuiet(ctx context.Context, began time.Time) {
+	for ctx.Err() == nil {
+		passed := time.Since(began)
+		if passed > s.part(acceptPart) {
+			s.requests.Close()
+		}
+		idle := s.requests.InFlight() == 0 && s.handler.InFlight() == 0 && s.requests.Idle() > quietTime
+		if passed > noticeTime && idle {
+			return
+		}
+		backoff.Pause(ctx, stopPoll)
+	}
+	s.timeline.Record(event.StopTimeout, event.Fields{})
+}
+
+func (s *Sidecar) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	s.report("request listener", s.requests.Stop(ctx))
+	if s.keys.known() {
+		s.report("peer server", s.server.Stop(ctx))
+		s.transport.Close()
+	}
+	s.backend.Close()
+	for _, part := range s.followers {
+		part.Stop()
+	}
+	s.row.Stop()
+}
+
+func (s *Sidecar) report(part string, err error) {
+	if err != nil {
+		s.config.Logger.Warn("part did not stop cleanly", "part", part, "error", err)
+	}
+}
--- /dev/null
+++ b/internal/process/sidecar/sidecar.go
@@ -0,0 +1,373 @@
+// Package sidecar wires the parts of the process that runs beside each backend
+// server on the users' platform, starts them and stops them gracefully.
+package sidecar
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"lagoonbarrow"
+	"lagoonbarrow/internal/connection/peer"
+	"lagoonbarrow/internal/process/directory"
+	"lagoonbarrow/internal/process/follower"
+	"lagoonbarrow/internal/process/metrics"
+	"lagoonbarrow/internal/process/placement"
+	"lagoonbarrow/internal/process/registration"
+	"lagoonbarrow/internal/process/retry"
+	"lagoonbarrow/internal/process/slots"
+	"lagoonbarrow/internal/process/timeline"
+	"lagoonbarrow/internal/request/backend"
+	"lagoonbarrow/internal/request/entry"
+	"lagoonbarrow/internal/request/execute"
+	"lagoonbarrow/internal/request/forward"
+	"lagoonbarrow/internal/version/routing"
+	"lagoonbarrow/pkg/event"
+)
+
+const (
+	// feedWait is how long a call to the store waits for changes. A feed that went
+	// silent is noticed after it.
+	feedWait = 5 * time.Second
+	// reservedFiles is the part of the open files that isn't for connections.
+	reservedFiles = 300
+	// timelineEvents is the number of events kept in memory.
+	timelineEvents = 512
+	// requestLogs bounds the log lines of single requests in a second.
+	requestLogs = 50
+	// maxBodyBytes bounds what a node holds for one request or answer.
+	maxBodyBytes = 64 << 20
+	// bufferedPart is the part of the memory that bodies between nodes may take.
+	bufferedPart = 4
+)
+
+// ConfigurationSource tells where the operator keeps the configuration and how
+// it is read.
+type ConfigurationSource struct {
+	Table  string
+	Key    string
+	Decode func(value []byte) (*lagoonbarrow.Configuration, error)
+}
+
+// Config configures a Sidecar.
+type Config struct {
+	Settings      Settings
+	Store         lagoonbarrow.RowStore
+	Configuration ConfigurationSource
+	Headers       lagoonbarrow.ServerHeaders
+	// HeartbeatHandler serves the backend server's heartbeats.
+	HeartbeatHandler func(lagoonbarrow.Heartbeats) fasthttp.RequestHandler
+	Logger           hclog.Logger
+}
+
+// Sidecar is the process beside one backend server.
+type Sidecar struct {
+	config   Config
+	settings Settings
+
+	metrics      *metrics.Metrics
+	timeline     *timeline.Timeline
+	routes       *routing.Registry
+	directory    *directory.Directory
+	row          *registration.RowKeeper
+	registration *registration.Registration
+	gate         *slots.Gate
+	chooser      *placement.Chooser
+	budget       *retry.Budget
+	keys         *peerKeys
+	transport    *peer.Client
+	server       *peer.Server
+	backend      *backend.Client
+	handler      *execute.Handler
+	forwarder    *forward.Forwarder
+	requests     *entry.RoutedListener
+	heartbeats   *control
+	ready        *control
+	scrape       *control
+	followers    []*follower.Follower
+	refresh      func()
+
+	nodes    atomic.Int64
+	stopping atomic.Bool
+}
+
+// New builds a sidecar that is not started yet.
+func New(config Config) (*Sidecar, error) {
+	s := &Sidecar{
+		config:   config,
+		settings: config.Settings,
+	}
+	steps := []func() error{
+		s.buildTelemetry,
+		s.buildState,
+		s.buildServer,
+		s.buildRequests,
+	}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+func (s *Sidecar) buildTelemetry() error {
+	var err error
+	s.metrics, err = metrics.New(metrics.Config{
+		Instance: s.settings.Instance,
+		Service:  s.settings.Service,
+		Zone:     s.settings.Zone,
+	})
+	s.timeline = timeline.New(timeline.Config{
+		Instance:    s.settings.Instance,
+		Zone:        s.settings.Zone,
+		Clock:       timeline.NewClock(time.Now),
+		Logger:      s.config.Logger,
+		Events:      timelineEvents,
+		RequestLogs: requestLogs,
+	})
+	return err
+}
+
+// buildState builds what is known of the call graph and of the server beside this node.
+func (s *Sidecar) buildState() error {
+	s.routes = routing.NewRegistry()
+	s.chooser = placement.New(placement.Config{
+		Zone: s.settings.Zone,
+	})
+	s.row = registration.NewRowKeeper(registration.RowConfig{
+		Store:  s.config.Store,
+		Table:  directory.Table,
+		Key:    string(s.settings.Instance),
+		Logger: s.config.Logger.Named("row"),
+	})
+	s.directory = directory.New(directory.Config{
+		Self:    s.settings.Instance,
+		Logger:  s.config.Logger.Named("directory"),
+		OwnRow:  s.row.Seen,
+		Changed: s.membersChanged,
+	})
+	s.registration = registration.New(registration.Config{
+		Service:           s.settings.Service,
+		Address:           s.settings.Server,
+		HeartbeatInterval: s.settings.HeartbeatInterval,
+		Changed:           s.serverChanged,
+		Logger:            s.config.Logger.Named("server"),
+	})
+	s.gate = slots.New(slots.Config{})
+	s.budget = retry.New(retry.Config{
+		Ratio:  s.settings.RetryRatio,
+		Slack:  s.settings.RetrySlack,
+		Window: s.settings.RetryWindow,
+		Nodes:  func() int { return int(s.nodes.Load()) },
+	})
+	configuration := follower.New(follower.Config{
+		Feed:    s.config.Store,
+		Table:   s.config.Configuration.Table,
+		Wait:    feedWait,
+		Replace: s.configurationRows,
+		Apply:   s.configurationChanges,
+		Logger:  s.config.Logger.Named("configuration"),
+	})
+	s.refresh = configuration.Refresh
+	instances := follower.New(follower.Config{
+		Feed:    s.config.Store,
+		Table:   directory.Table,
+		Wait:    feedWait,
+		Replace: s.directory.Replace,
+		Apply:   s.directory.Apply,
+		Logger:  s.config.Logger.Named("directory"),
+	})
+	s.followers = []*follower.Follower{configuration, instances}
+	return nil
+}
+
+// buildServer builds what other nodes call.
+func (s *Sidecar) buildServer() error {
+	var err error
+	s.backend, err = backend.New(backend.Config{
+		Address:      s.settings.Server,
+		MaxBodyBytes: maxBodyBytes,
+		Headers:      s.config.Headers,
+		// A server may forget an idle connection without a sign.
+		FreshTime: -1,
+		Scope:     s.metrics.Scope().SubScope("backend"),
+	})
+	if err != nil {
+		return err
+	}
+	s.handler = execute.NewHandler(execute.Config{
+		Current:  s.registration.Current,
+		Replaced: s.registration.Replaced,
+		Version:  s.routes.Version,
+		Heard:    s.heard,
+		Gate:     s.gate,
+		Relay:    s.backend,
+		Recorder: s.timeline,
+	})
+	s.keys = &peerKeys{
+		store:  s.config.Store,
+		logger: s.config.Logger.Named("peer-key"),
+	}
+	return nil
+}
+
+// buildPeers builds the transport between nodes once their key is known.
+func (s *Sidecar) buildPeers(key []byte) error {
+	var err error
+	s.transport, err = peer.NewClient(peer.ClientConfig{
+		PeerKey:        key,
+		Self:           s.settings.Instance,
+		Advertise:      s.settings.Peer,
+		MaxConnections: s.connections(),
+		MaxBodyBytes:   maxBodyBytes,
+		Recorder:       s.timeline,
+		Scope:          s.metrics.Scope().SubScope("peer"),
+	})
+	if err != nil {
+		return err
+	}
+	s.server, err = peer.NewServer(peer.ServerConfig{
+		Address:          s.settings.Peer,
+		PeerKey:          key,
+		Self:             s.settings.Instance,
+		Calls:            s.handler,
+		MaxConnections:   s.connections(),
+		MaxBodyBytes:     maxBodyBytes,
+		MaxBufferedBytes: s.settings.MemoryBytes / bufferedPart,
+		Recorder:         s.timeline,
+		Scope:            s.metrics.Scope().SubScope("peer"),
+	})
+	return err
+}
+
+// connections is the number of connections of one kind; there are four: from clients,
+// from and to other nodes, and to the backend server.
+func (s *Sidecar) connections() int {
+	return max(1, (s.settings.MaxOpenFiles-reservedFiles)/4)
+}
+
+func (s *Sidecar) buildRequests() error {
+	s.forwarder = forward.New(forward.Config{
+		Self:      s.settings.Instance,
+		Directory: s.directory,
+		Chooser:   s.chooser,
+		Transport: lateTransport{sidecar: s},
+		Local:     s.handler,
+		Budget:    s.budget,
+		Version:   s.routes.Version,
+		Heard:     s.heard,
+		Recorder:  s.timeline,
+	})
+	s.requests = entry.NewRoutedListener(entry.RoutedConfig{
+		Address: s.settings.Requests,
+		Service: s.settings.Service,
+		Limits: entry.Limits{
+			BodyBytes:   maxBodyBytes,
+			HeaderBytes: maxHeaderBytes,
+			Connections: s.connections(),
+		},
+		Headers:   s.config.Headers,
+		Routes:    s.routes,
+		Forwarder: s.forwarder,
+		Parent:    s.handler.Parent,
+		Recorder:  s.timeline,
+	})
+	s.heartbeats = newControl("heartbeats", s.settings.Heartbeats, s.config.HeartbeatHandler(s.registration))
+	s.ready = newControl("readiness", s.settings.Ready, s.serveReady)
+	s.scrape = newControl("metrics", s.settings.Metrics, s.metrics.Handler())
+	return nil
+}
+
+// maxHeaderBytes bounds a request's headers; the platform's clients stay within 16 KiB.
+const maxHeaderBytes = 17 << 10
+
+// serverChanged takes the state of the backend server beside this node.
+func (s *Sidecar) serverChanged(server registration.Server, ready bool) {
+	state := lagoonbarrow.StateLeaving
+	if ready {
+		state = lagoonbarrow.StateReady
+	}
+	s.gate.SetSlots(server.Slots)
+	self := lagoonbarrow.Instance{
+		ID:      s.settings.Instance,
+		Service: server.Service,
+		Zone:    s.settings.Zone,
+		Region:  s.settings.Region,
+		Peer:    s.settings.Peer,
+		Slots:   server.Slots,
+		State:   state,
+	}
+	if s.stopping.Load() {
+		self.State = lagoonbarrow.StateLeaving
+	}
+	s.directory.SetSelf(self)
+	value, err := directory.Encode(self, server.ID)
+	if err != nil {
+		s.config.Logger.Error("encoding the node's row failed", "error", err)
+		return
+	}
+	s.row.Want(value)
+}
+
+func (s *Sidecar) membersChanged(ids map[lagoonbarrow.InstanceID]bool) {
+	s.nodes.Store(int64(len(ids)))
+	s.chooser.Keep(ids)
+}
+
+func (s *Sidecar) configurationRows(rows []lagoonbarrow.Row) {
+	for _, row := range rows {
+		s.takeConfiguration(row)
+	}
+}
+
+func (s *Sidecar) configurationChanges(changes []lagoonbarrow.Change) {
+	for _, change := range changes {
+		if !change.Deleted {
+			s.takeConfiguration(change.Row)
+		}
+	}
+}
+
+// takeConfiguration puts a configuration in force if it is valid and newer.
+func (s *Sidecar) takeConfiguration(row lagoonbarrow.Row) {
+	if row.Key != s.config.Configuration.Key {
+		return
+	}
+	configuration, err := s.config.Configuration.Decode(row.Value)
+	if err != nil {
+		s.timeline.Record(event.ConfigurationRefused, event.Fields{
+			Detail: err.Error(),
+		})
+		return
+	}
+	if s.routes.Offer(configuration) {
+		s.timeline.Record(event.ConfigurationInForce, event.Fields{
+			ContractVersion: uint64(configuration.Version),
+		})
+	}
+}
+
+// heard asks for the configuration again when another node knows a newer one.
+func (s *Sidecar) heard(version lagoonbarrow.ConfigurationVersion) {
+	if version > s.routes.Version() {
+		s.refresh()
+	}
+}
+
+// lateTransport refuses calls until the key of the nodes is known.
+type lateTransport struct {
+	sidecar *Sidecar
+}
+
+// Call implements forward.Transport.
+func (t lateTransport) Call(ctx context.Context, to lagoonbarrow.Instance, call *lagoonbarrow.Call) (*lagoonbarrow.Answer, error) {
+	if !t.sidecar.keys.known() {
+		return nil, errors.Wrap(lagoonbarrow.ErrNotSent, "sidecar: the key of the nodes is not known yet")
+	}
+	return t.sidecar.transport.Call(ctx, to, call)
+}
--- a/internal/process/timeline/timeline.go
+++ b/internal/process/timeline/timeline.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -27,6 +28,9 @@
 	Logger   hclog.Logger
 	// Events is the number of events kept in each of the two rings.
 	Events int
+	// RequestLogs is the number of lines a second that events of single requests
+	// may write at level info. Without it they are written at level debug.
+	RequestLogs int
 }
 
 // Timeline keeps the latest events in memory; the oldest are overwritten. Its
@@ -36,6 +40,7 @@
 	mu       sync.Mutex
 	process  ring
 	requests ring
+	lines    lineLimit
 }
 
 // Filter selects events. Empty fields select all.
@@ -55,6 +60,9 @@
 		config:   config,
 		process:  newRing(config.Events),
 		requests: newRing(config.Events),
+		lines: lineLimit{
+			perSecond: config.RequestLogs,
+		},
 	}
 }
 
@@ -69,21 +77,33 @@
 		Stamp:    t.config.Clock.Now(),
 	}
 	perRequest := ofRequest(kind)
+	level := hclog.Info
+	omitted := 0
 	t.mu.Lock()
 	if perRequest {
 		t.requests.add(occurrence)
+		level, omitted = t.requestLevel(occurrence.Stamp.Time())
 	} else {
 		t.process.add(occurrence)
 	}
 	t.mu.Unlock()
-	t.log(occurrence, perRequest)
+	if omitted > 0 {
+		t.config.Logger.Info("lines of requests omitted", "count", omitted)
+	}
+	t.log(occurrence, level)
 }
 
-func (t *Timeline) log(occurrence event.Event, perRequest bool) {
-	level := hclog.Info
-	if perRequest {
-		level = hclog.Debug
+// requestLevel returns the level of an event of a request, and how many lines were
+// left out in the second before.
+func (t *Timeline) requestLevel(now time.Time) (level hclog.Level, omitted int) {
+	allowed, omitted := t.lines.take(now)
+	if allowed {
+		return hclog.Info, omitted
 	}
+	return hclog.Debug, omitted
+}
+
+func (t *Timeline) log(occurrence event.Event, level hclog.Level) {
 	if t.config.Logger == nil || t.config.Logger.GetLevel() > level {
 		return
 	}
--- a/internal/request/backend/client.go
+++ b/internal/request/backend/client.go
@@ -46,7 +46,12 @@
 	DialTimeout time.Duration
 	// IdleTimeout is how long an unused connection is kept; 10 s by default.
 	IdleTimeout time.Duration
-	Scope       tally.Scope
+	// Headers names the headers of servers that Relay sends to.
+	Headers lagoonbarrow.ServerHeaders
+	// FreshTime is how long a connection may have been idle to be used for a request
+	// that must not be sent twice; 1 s by default, none if negative.
+	FreshTime time.Duration
+	Scope     tally.Scope
 }
 
 // Client sends calls to the backend server. It implements lagoonbarrow.Backend.
@@ -77,6 +82,9 @@
 	if config.IdleTimeout <= 0 {
 		config.IdleTimeout = defaultIdleTimeout
 	}
+	if config.FreshTime == 0 {
+		config.FreshTime = defaultFreshTime
+	}
 	if config.Scope == nil {
 		config.Scope = tally.NoopScope
 	}
--- a/internal/request/backend/connection.go
+++ b/internal/request/backend/connection.go
@@ -82,6 +82,15 @@
 // read receives a whole answer. It returns an error for a body that is shorter
 // than announced, longer than the limit, or of unknown length.
 func (c *connection) read(response *fasthttp.Response, skipBody bool, limit int) error {
+	return c.readFramed(response, skipBody, limit, false)
+}
+
+// readUnframed is read for servers whose answers may end with their connection.
+func (c *connection) readUnframed(response *fasthttp.Response, skipBody bool, limit int) error {
+	return c.readFramed(response, skipBody, limit, true)
+}
+
+func (c *connection) readFramed(response *fasthttp.Response, skipBody bool, limit int, unframed bool) error {
 	response.Header.SetNoDefaultContentType(true)
 	if err := c.readHeader(&response.Header); err != nil {
 		return err
@@ -91,7 +100,7 @@
 		return nil
 	}
 	length := response.Header.ContentLength()
-	if length == bodyWithoutLength {
+	if length == bodyWithoutLength && !unframed {
 		return errNoLength
 	}
 	if err := response.ReadBody(c.in, limit); err != nil {
--- a/internal/request/backend/pool.go
+++ b/internal/request/backend/pool.go
@@ -12,11 +12,11 @@
 	"lagoonbarrow/internal/connection/peer/socket"
 )
 
-// freshTime is how long a connection may have been idle to be used for a method
+// defaultFreshTime is how long a connection may have been idle to be used for a method
 // that is not safe. The backend server may close an idle connection at the moment
 // a request is written to it; then nobody knows whether a write was run. A new
 // connection costs about 1 ms (design 1.1) and avoids that.
-const freshTime = time.Second
+const defaultFreshTime = time.Second
 
 // probeConnections are kept for Probe, which must not wait for calls.
 const probeConnections = 1
@@ -66,7 +66,7 @@
 func (p *pool) connect(ctx context.Context, safe bool) (*connection, error) {
 	oldest := time.Now().Add(-p.config.IdleTimeout)
 	if !safe {
-		oldest = time.Now().Add(-freshTime)
+		oldest = time.Now().Add(-p.config.FreshTime)
 	}
 	for {
 		c, err := p.pop()
--- a/internal/request/backend/run_test.go
+++ b/internal/request/backend/run_test.go
@@ -472,7 +472,7 @@
 	age := func() {
 		client.pool.mutex.Lock()
 		defer client.pool.mutex.Unlock()
-		client.pool.idle[0].idleSince = time.Now().Add(-2 * freshTime)
+		client.pool.idle[0].idleSince = time.Now().Add(-2 * defaultFreshTime)
 	}
 	age()
 	run("GET")
--- /dev/null
+++ b/internal/request/entry/routed.go
@@ -0,0 +1,246 @@
+package entry
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"lagoonbarrow"
+	"lagoonbarrow/internal/request/execute"
+	"lagoonbarrow/internal/request/forward"
+	"lagoonbarrow/internal/version/routing"
+	"lagoonbarrow/pkg/event"
+)
+
+const (
+	// unreadyReturn is when clients of a node without a configuration come back; it
+	// usually has one within a second.
+	unreadyReturn = 300 * time.Millisecond
+	// stoppingReturn is when clients of a stopping node come back, by then to
+	// another one.
+	stoppingReturn = 200 * time.Millisecond
+	// maxDeadline bounds what clients may ask for.
+	maxDeadline = time.Hour
+)
+
+// RoutedConfig configures a RoutedListener.
+type RoutedConfig struct {
+	Address lagoonbarrow.Address
+	// Service is the service of the backend server beside this node, where all
+	// requests of this listener begin.
+	Service   lagoonbarrow.ServiceName
+	Limits    Limits
+	Headers   lagoonbarrow.ServerHeaders
+	Routes    *routing.Registry
+	Forwarder *forward.Forwarder
+	// Parent finds the running call that a request of the backend server belongs to.
+	Parent   func(request lagoonbarrow.RequestID) (execute.Parent, bool)
+	Recorder lagoonbarrow.Recorder
+}
+
+// RoutedListener serves the requests of the clients on this machine and of the
+// backend server beside this node, by the routes of the configuration.
+type RoutedListener struct {
+	config   RoutedConfig
+	server   *server
+	dropped  []string
+	inFlight atomic.Int64
+	// draining asks clients to close their connections.
+	draining atomic.Bool
+	// closed refuses new requests.
+	closed atomic.Bool
+	// lastRequest is the Unix time in nanoseconds of the last request.
+	lastRequest atomic.Int64
+}
+
+// NewRoutedListener returns a listener that is not started yet.
+func NewRoutedListener(config RoutedConfig) *RoutedListener {
+	listener := &RoutedListener{
+		config: config,
+		dropped: []string{
+			strings.ToLower(config.Headers.Deadline),
+			strings.ToLower(config.Headers.ExpectedServer),
+			strings.ToLower(config.Headers.CallerService),
+			"expect",
+		},
+	}
+	listener.server = newServer(config.Address, config.Limits, listener.serve)
+	listener.server.http.NoDefaultDate = true
+	return listener
+}
+
+// Start listens and returns the address in use.
+func (l *RoutedListener) Start() (lagoonbarrow.Address, error) {
+	return l.server.start()
+}
+
+// Drain asks clients to close their connections after their next answer.
+func (l *RoutedListener) Drain() {
+	l.draining.Store(true)
+}
+
+// Close refuses new requests; those in progress go on.
+func (l *RoutedListener) Close() {
+	l.closed.Store(true)
+}
+
+// InFlight returns the number of requests in progress.
+func (l *RoutedListener) InFlight() int {
+	return int(l.inFlight.Load())
+}
+
+// Idle returns the time since the last request.
+func (l *RoutedListener) Idle() time.Duration {
+	return time.Since(time.Unix(0, l.lastRequest.Load()))
+}
+
+// Stop closes the listener and waits for requests in progress until ctx ends.
+func (l *RoutedListener) Stop(ctx context.Context) error {
+	return l.server.stop(ctx)
+}
+
+func (l *RoutedListener) serve(http *fasthttp.RequestCtx) {
+	received := time.Now()
+	l.lastRequest.Store(received.UnixNano())
+	l.inFlight.Add(1)
+	defer l.inFlight.Add(-1)
+	if l.draining.Load() {
+		http.SetConnectionClose()
+	}
+	request, status, returnAfter := l.accept(http, received)
+	if request == nil {
+		l.refuse(http, status, returnAfter)
+		return
+	}
+	ctx, cancel := l.server.watcher.follow(http)
+	defer cancel()
+	answer := l.config.Forwarder.Do(ctx, request)
+	l.write(http, answer)
+	if answer.Outcome != lagoonbarrow.OutcomeDone {
+		l.record(http, request, answer)
+	}
+}
+
+// accept returns the request, or the status that refuses it and when to come back.
+func (l *RoutedListener) accept(http *fasthttp.RequestCtx, received time.Time) (*forward.Request, int, time.Duration) {
+	if l.closed.Load() {
+		return nil, fasthttp.StatusServiceUnavailable, stoppingReturn
+	}
+	if err := checkTarget(http); err != nil {
+		return nil, fasthttp.StatusBadRequest, 0
+	}
+	path := pathWithQuery(http)
+	host := string(http.Host())
+	route, err := l.config.Routes.Find(host, path)
+	if errors.Is(err, lagoonbarrow.ErrUnavailable) {
+		return nil, fasthttp.StatusServiceUnavailable, unreadyReturn
+	}
+	if err != nil {
+		return nil, fasthttp.StatusNotFound, 0
+	}
+	request := &forward.Request{
+		ID:       lagoonbarrow.RequestID(http.Request.Header.Peek(l.config.Headers.RequestID)),
+		Route:    route,
+		Service:  route.Service(),
+		Host:     host,
+		Method:   string(http.Method()),
+		Path:     path,
+		Header:   l.header(http),
+		Body:     bodyCopy(http),
+		Received: received,
+		Deadline: received.Add(min(route.Timeout, l.deadline(http))),
+	}
+	l.inherit(request)
+	return request, 0, 0
+}
+
+// inherit gives a request of the backend server the importance and the deadline
+// of the call that it belongs to.
+func (l *RoutedListener) inherit(request *forward.Request) {
+	parent, found := l.config.Parent(request.ID)
+	if !found {
+		request.Priority = lagoonbarrow.NewPriority(request.Route.Importance, 0)
+		return
+	}
+	request.Nested = true
+	request.Priority = parent.Priority
+	if parent.Deadline.Before(request.Deadline) {
+		request.Deadline = parent.Deadline
+	}
+}
+
+// deadline returns how long the client waits.
+func (l *RoutedListener) deadline(http *fasthttp.RequestCtx) time.Duration {
+	milliseconds, err := strconv.ParseInt(string(http.Request.Header.Peek(l.config.Headers.Deadline)), 10, 64)
+	if err != nil || milliseconds < 0 || milliseconds > maxDeadline.Milliseconds() {
+		return maxDeadline
+	}
+	return time.Duration(milliseconds) * time.Millisecond
+}
+
+// header returns the headers that are passed on, with the service where the
+// request begins.
+func (l *RoutedListener) header(http *fasthttp.RequestCtx) []lagoonbarrow.HeaderField {
+	fields := passedHeader(http, l.dropped...)
+	return append(fields, lagoonbarrow.HeaderField{
+		Name:  l.config.Headers.CallerService,
+		Value: string(l.config.Service),
+	})
+}
+
+// refuse answers a request that was not run.
+func (l *RoutedListener) refuse(http *fasthttp.RequestCtx, status int, returnAfter time.Duration) {
+	http.SetStatusCode(status)
+	if returnAfter > 0 {
+		http.Response.Header.Set(fasthttp.HeaderRetryAfter, seconds(returnAfter))
+	}
+}
+
+// write writes a backend server's answer unchanged, or the node's own one.
+func (l *RoutedListener) write(http *fasthttp.RequestCtx, answer *lagoonbarrow.Answer) {
+	http.Response.Header.SetNoDefaultContentType(true)
+	if answer.Outcome != lagoonbarrow.OutcomeDone {
+		l.refuse(http, routedStatus(answer), answer.RetryAfter)
+		return
+	}
+	http.SetStatusCode(answer.Status)
+	for _, field := range answer.Header {
+		http.Response.Header.Add(field.Name, field.Value)
+	}
+	http.SetBody(answer.Body)
+}
+
+// routedStatus is the status of an answer that is not a backend server's. Only
+// 503 tells the client that its request was not run.
+func routedStatus(answer *lagoonbarrow.Answer) int {
+	switch {
+	case answer.Outcome == lagoonbarrow.OutcomeNotRun && answer.Status == fasthttp.StatusBadRequest:
+		return fasthttp.StatusBadRequest
+	case answer.Outcome == lagoonbarrow.OutcomeNotRun:
+		return fasthttp.StatusServiceUnavailable
+	case answer.Reason == lagoonbarrow.ReasonDeadline:
+		return fasthttp.StatusGatewayTimeout
+	default:
+		return fasthttp.StatusBadGateway
+	}
+}
+
+// seconds writes a duration as seconds with three decimals.
+func seconds(duration time.Duration) string {
+	return strconv.FormatFloat(duration.Seconds(), 'f', 3, 64)
+}
+
+func (l *RoutedListener) record(http *fasthttp.RequestCtx, request *forward.Request, answer *lagoonbarrow.Answer) {
+	l.config.Recorder.Record(event.RequestEnded, event.Fields{
+		Request: string(request.ID),
+		Class:   string(request.Route.Name),
+		Detail: "status=" + strconv.Itoa(http.Response.StatusCode()) + " outcome=" + string(answer.Outcome) + " reason=" + string(answer.Reason) +
+			" version=" + strconv.FormatUint(uint64(request.Route.Version), 10) + " service=" + string(request.Service) +
+			" retry-after=" + answer.RetryAfter.String() + " took=" + time.Since(request.Received).Round(time.Millisecond).String(),
+	})
+}
--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -12,6 +12,7 @@
 		platformKinds,
 		peerKinds,
 		quotaKinds,
+		configurationKinds,
 	}
 	var all []Kind
 	for _, group := range groups {
--- a/pkg/event/catalogue_call.go
+++ b/pkg/event/catalogue_call.go
@@ -56,6 +56,18 @@
 		Name:    "repeat-refused",
 		Meaning: "an application's repeat of a call was refused",
 	}
+	// CallNotServed: a call has no answer of the backend server.
+	CallNotServed = Kind{
+		Number:  510,
+		Name:    "call-not-served",
+		Meaning: "a call has no answer of the backend server",
+	}
+	// CallFailed: a request forwarded to an instance has no answer from it.
+	CallFailed = Kind{
+		Number:  511,
+		Name:    "call-failed",
+		Meaning: "a request forwarded to an instance has no answer from it",
+	}
 )
 
 var callKinds = []Kind{
@@ -68,4 +80,6 @@
 	CallRetried,
 	RetryExhausted,
 	RepeatRefused,
+	CallNotServed,
+	CallFailed,
 }
