Test the sidecar's parts against stand-ins of the platform

A connection that is too old for a write now stays for reads: writes closed it before (found by TestRelayUsesNewConnectionsForRequestsThatRunOnce).

--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -45,19 +45,11 @@
 	bufferedPart = 4
 )
 
-// ConfigurationSource tells where the operator keeps the configuration and how
-// it is read.
-type ConfigurationSource struct {
-	Table  string
-	Key    string
-	Decode func(value []byte) (*lagoonbarrow.Configuration, error)
-}
-
 // Config configures a Sidecar.
 type Config struct {
-	Settings      Settings
+	Settings      lagoonbarrow.SidecarSettings
 	Store         lagoonbarrow.RowStore
-	Configuration ConfigurationSource
+	Configuration lagoonbarrow.ConfigurationSource
 	Headers       lagoonbarrow.ServerHeaders
 	// HeartbeatHandler serves the backend server's heartbeats.
 	HeartbeatHandler func(lagoonbarrow.Heartbeats) fasthttp.RequestHandler
@@ -67,7 +59,7 @@
 // Sidecar is the process beside one backend server.
 type Sidecar struct {
 	config   Config
-	settings Settings
+	settings lagoonbarrow.SidecarSettings
 
 	metrics      *metrics.Metrics
 	timeline     *timeline.Timeline
--- a/internal/request/backend/pool.go
+++ b/internal/request/backend/pool.go
@@ -65,11 +65,12 @@
 
 func (p *pool) connect(ctx context.Context, safe bool) (*connection, error) {
 	oldest := time.Now().Add(-p.config.IdleTimeout)
+	newest := time.Time{}
 	if !safe {
-		oldest = time.Now().Add(-p.config.FreshTime)
+		newest = time.Now().Add(-p.config.FreshTime)
 	}
 	for {
-		c, err := p.pop()
+		c, err := p.pop(newest)
 		if err != nil {
 			return nil, err
 		}
@@ -99,15 +100,16 @@
 
 var errClosed = errors.Wrap(lagoonbarrow.ErrStopping, "backend: client is closed")
 
-// pop takes the idle connection that was used last.
-func (p *pool) pop() (*connection, error) {
+// pop takes the idle connection that was used last, if that was after the given
+// time. Older ones stay for other calls.
+func (p *pool) pop(after time.Time) (*connection, error) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if p.closed {
 		return nil, errClosed
 	}
 	last := len(p.idle) - 1
-	if last < 0 {
+	if last < 0 || !p.idle[last].idleSince.After(after) {
 		return nil, nil
 	}
 	c := p.idle[last]
--- /dev/null
+++ b/internal/request/backend/relay_test.go
@@ -0,0 +1,140 @@
+package backend
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"lagoonbarrow"
+	"lagoonbarrow/platform"
+	"lagoonbarrow/platform/standin"
+)
+
+func relayClient(t *testing.T, config standin.ServerConfig) (*Client, *standin.Server) {
+	t.Helper()
+	config.ID = "i-1"
+	server, err := standin.NewServer(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	client, err := New(Config{
+		Address:   server.Address(),
+		Headers:   platform.Headers(),
+		FreshTime: -1,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(client.Close)
+	return client, server
+}
+
+func relayCall(id string) *lagoonbarrow.Call {
+	return &lagoonbarrow.Call{
+		ID:      lagoonbarrow.CallID(id),
+		Request: lagoonbarrow.RequestID(id),
+		Server:  "i-1",
+		Host:    "one.example",
+		Method:  "POST",
+		Path:    "/a/b?c=%2F",
+		Header: []lagoonbarrow.HeaderField{{
+			Name:  "Request-Id",
+			Value: id,
+		}},
+		Body: []byte("body"),
+	}
+}
+
+func relay(client *Client, call *lagoonbarrow.Call) *lagoonbarrow.Answer {
+	return client.Relay(context.Background(), call, time.Now().Add(2*time.Second))
+}
+
+// Guards against answers that are not the server's whole own answer to this
+// request, and against a wrong word on whether the request was run.
+func TestRelayTellsSpoiltAnswersFromWholeOnes(t *testing.T) {
+	rows := []struct {
+		spoiling standin.Spoiling
+		want     lagoonbarrow.Outcome
+		status   int
+	}{
+		{"", lagoonbarrow.OutcomeDone, 200},
+		{standin.SpoilCut, lagoonbarrow.OutcomeUnknown, 0},
+		{standin.SpoilExtra, lagoonbarrow.OutcomeDone, 200},
+		{standin.SpoilStray, lagoonbarrow.OutcomeDone, 200},
+		{standin.SpoilUnframed, lagoonbarrow.OutcomeDone, 200},
+		{standin.SpoilUnframedReset, lagoonbarrow.OutcomeUnknown, 0},
+		{standin.SpoilLost, lagoonbarrow.OutcomeUnknown, 0},
+		{standin.SpoilUnsigned, lagoonbarrow.OutcomeUnknown, 200},
+		{standin.SpoilRefused, lagoonbarrow.OutcomeNotRun, 503},
+		{standin.SpoilFailed, lagoonbarrow.OutcomeDone, 500},
+		{standin.SpoilUnmarked, lagoonbarrow.OutcomeUnknown, 503},
+	}
+	for _, row := range rows {
+		t.Run("spoiling "+string(row.spoiling), func(t *testing.T) {
+			client, _ := relayClient(t, standin.ServerConfig{
+				Spoil: func(string) standin.Spoiling { return row.spoiling },
+			})
+			for _, id := range []string{"first", "second"} {
+				answer := relay(client, relayCall(id))
+				if answer.Outcome != row.want || answer.Status != row.status || !answer.Offered {
+					t.Fatalf("%s: %+v", id, answer)
+				}
+				whole := string(standin.Echo("POST", "/a/b?c=%2F", id, []byte("body")))
+				if answer.Outcome == lagoonbarrow.OutcomeDone && string(answer.Body) != whole {
+					t.Fatalf("%s: body %s, want %s", id, answer.Body, whole)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a request that another server runs which has the address now.
+func TestRelayNamesTheExpectedServer(t *testing.T) {
+	client, server := relayClient(t, standin.ServerConfig{})
+	call := relayCall("first")
+	call.Server = "i-2"
+	answer := relay(client, call)
+	if answer.Outcome != lagoonbarrow.OutcomeNotRun || answer.Status != 421 || server.Runs("first") != 0 {
+		t.Fatalf("answer %+v, %d runs", answer, server.Runs("first"))
+	}
+}
+
+// Guards against servers that go on with a request whose client has left, and
+// against a connection that is used again after it.
+func TestRelayClosesTheConnectionOfACancelledRequest(t *testing.T) {
+	client, server := relayClient(t, standin.ServerConfig{
+		Work: time.Minute,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan *lagoonbarrow.Answer)
+	go func() {
+		ended <- client.Relay(ctx, relayCall("first"), time.Now().Add(time.Minute))
+	}()
+	for server.Runs("first") == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	if answer := <-ended; answer.Outcome != lagoonbarrow.OutcomeUnknown {
+		t.Fatalf("answer %+v", answer)
+	}
+	for server.Count().Abandoned == 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against a request that must not be sent twice on a connection that its
+// server may have forgotten.
+func TestRelayUsesNewConnectionsForRequestsThatRunOnce(t *testing.T) {
+	client, _ := relayClient(t, standin.ServerConfig{})
+	for _, id := range []string{"first", "second"} {
+		call := relayCall(id)
+		call.AtMostOnce = true
+		if answer := relay(client, call); answer.Outcome != lagoonbarrow.OutcomeDone {
+			t.Fatalf("answer %+v", answer)
+		}
+	}
+	if kept := len(client.pool.idle); kept != 2 {
+		t.Fatalf("%d connections were opened, want 2", kept)
+	}
+}
--- /dev/null
+++ b/internal/request/execute/handler_test.go
@@ -0,0 +1,213 @@
+package execute
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"lagoonbarrow"
+	"lagoonbarrow/internal/process/registration"
+	"lagoonbarrow/internal/process/slots"
+	"lagoonbarrow/pkg/event"
+)
+
+type noRecorder struct{}
+
+func (noRecorder) Record(event.Kind, event.Fields) {}
+
+// fakeServer is a backend server whose state tests change.
+type fakeServer struct {
+	mu       sync.Mutex
+	ready    bool
+	replaced lagoonbarrow.ServerID
+	answer   lagoonbarrow.Answer
+	// block holds runs back until it is closed.
+	block chan struct{}
+	runs  []*lagoonbarrow.Call
+}
+
+func (f *fakeServer) current() (registration.Server, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return registration.Server{
+		ID:      "i-1",
+		Service: "alpha",
+	}, f.ready
+}
+
+func (f *fakeServer) setReady(ready bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ready = ready
+}
+
+func (f *fakeServer) Relay(_ context.Context, call *lagoonbarrow.Call, _ time.Time) *lagoonbarrow.Answer {
+	f.mu.Lock()
+	f.runs = append(f.runs, call)
+	f.mu.Unlock()
+	if f.block != nil {
+		<-f.block
+	}
+	answer := f.answer
+	answer.Call = call.ID
+	return &answer
+}
+
+func (f *fakeServer) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.runs)
+}
+
+func newHandler(server *fakeServer) (*Handler, *slots.Gate) {
+	gate := slots.New(slots.Config{})
+	gate.SetSlots(1)
+	handler := NewHandler(Config{
+		Current:  server.current,
+		Replaced: func(id lagoonbarrow.ServerID) { server.replaced = id },
+		Version:  func() lagoonbarrow.ConfigurationVersion { return 1 },
+		Heard:    func(lagoonbarrow.ConfigurationVersion) {},
+		Gate:     gate,
+		Relay:    server,
+		Recorder: noRecorder{},
+	})
+	return handler, gate
+}
+
+func newCall(id string) *lagoonbarrow.Call {
+	return &lagoonbarrow.Call{
+		ID:        lagoonbarrow.CallID(id),
+		Request:   lagoonbarrow.RequestID(id),
+		Service:   "alpha",
+		Remaining: time.Minute,
+		MaxWait:   time.Minute,
+	}
+}
+
+var done = lagoonbarrow.Answer{
+	Outcome: lagoonbarrow.OutcomeDone,
+	Status:  200,
+	Offered: true,
+}
+
+// Guards against calls that reach a server which is not known, is leaving, or is
+// of another service.
+func TestOnlyAReadyServerOfTheServiceGetsCalls(t *testing.T) {
+	rows := []struct {
+		name    string
+		ready   bool
+		service lagoonbarrow.ServiceName
+		close   bool
+		runs    int
+	}{
+		{"ready", true, "alpha", false, 1},
+		{"not ready", false, "alpha", false, 0},
+		{"another service", true, "beta", false, 0},
+		{"the node is stopping", true, "alpha", true, 0},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			server := &fakeServer{
+				ready:  row.ready,
+				answer: done,
+			}
+			handler, _ := newHandler(server)
+			if row.close {
+				handler.Close()
+			}
+			call := newCall("request")
+			call.Service = row.service
+			answer := handler.HandleCall(context.Background(), call)
+			if server.count() != row.runs {
+				t.Fatalf("%d runs", server.count())
+			}
+			if row.runs == 0 && answer.Outcome != lagoonbarrow.OutcomeNotRun {
+				t.Fatalf("answer %+v", answer)
+			}
+			if row.runs == 1 && server.runs[0].Server != "i-1" {
+				t.Fatalf("the expected server is %q", server.runs[0].Server)
+			}
+		})
+	}
+}
+
+// Guards against a call that waited for a slot and reaches a server which began to
+// leave meanwhile.
+func TestServerThatLeavesWhileACallWaits(t *testing.T) {
+	server := &fakeServer{
+		ready:  true,
+		answer: done,
+		block:  make(chan struct{}),
+	}
+	handler, gate := newHandler(server)
+	first := make(chan *lagoonbarrow.Answer)
+	go func() { first <- handler.HandleCall(context.Background(), newCall("first")) }()
+	for server.count() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	second := make(chan *lagoonbarrow.Answer)
+	go func() { second <- handler.HandleCall(context.Background(), newCall("second")) }()
+	for gate.Load().Queued == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	server.setReady(false)
+	close(server.block)
+	if answer := <-first; answer.Outcome != lagoonbarrow.OutcomeDone {
+		t.Fatalf("the running call was cut off: %+v", answer)
+	}
+	if answer := <-second; answer.Outcome != lagoonbarrow.OutcomeNotRun || server.count() != 1 {
+		t.Fatalf("answer %+v after %d runs", answer, server.count())
+	}
+	if load := gate.Load(); load.Running != 0 {
+		t.Fatalf("%d slots are still held", load.Running)
+	}
+}
+
+// Guards against a server that is gone and stays in use although another one
+// answers at its address.
+func TestAnotherServerAtTheAddressIsNoticed(t *testing.T) {
+	server := &fakeServer{
+		ready: true,
+		answer: lagoonbarrow.Answer{
+			Outcome: lagoonbarrow.OutcomeNotRun,
+			Status:  statusMisdirected,
+		},
+	}
+	handler, _ := newHandler(server)
+	handler.HandleCall(context.Background(), newCall("request"))
+	if server.replaced != "i-1" {
+		t.Fatalf("replaced %q", server.replaced)
+	}
+}
+
+// Guards against requests of a server that lose the importance of the request that
+// it is running.
+func TestParentIsFoundByTheRequestID(t *testing.T) {
+	held := newRunning()
+	call := newCall("9c41")
+	call.Priority = lagoonbarrow.NewPriority(lagoonbarrow.ImportanceCritical, 0)
+	end := held.add(call, time.Now())
+	rows := []struct {
+		id   lagoonbarrow.RequestID
+		want bool
+	}{
+		{"9c41.1", true},
+		{"9c41.1.2", true},
+		{"9c41", false},
+		{"9c4.1", false},
+		{"other.1", false},
+		{".1", false},
+		{"", false},
+	}
+	for _, row := range rows {
+		parent, found := held.parent(row.id)
+		if found != row.want || found && parent.Priority != call.Priority {
+			t.Errorf("%q: found %t, want %t", row.id, found, row.want)
+		}
+	}
+	end()
+	if _, found := held.parent("9c41.1"); found || held.count() != 0 {
+		t.Error("a call that has ended is still a parent")
+	}
+}
--- /dev/null
+++ b/internal/request/forward/forwarder_test.go
@@ -0,0 +1,261 @@
+package forward
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lagoonbarrow"
+	"lagoonbarrow/internal/process/placement"
+	"lagoonbarrow/internal/process/retry"
+	"lagoonbarrow/internal/version/routing"
+	"lagoonbarrow/pkg/event"
+)
+
+type fakeDirectory []lagoonbarrow.Instance
+
+func (d fakeDirectory) Instances(lagoonbarrow.ServiceName) []lagoonbarrow.Instance {
+	return d
+}
+
+// reply is what an instance does with a call.
+type reply struct {
+	answer lagoonbarrow.Answer
+	err    error
+}
+
+// fakeTransport answers the calls in their order.
+type fakeTransport struct {
+	replies []reply
+	calls   []*lagoonbarrow.Call
+	to      []lagoonbarrow.InstanceID
+}
+
+func (f *fakeTransport) Call(_ context.Context, to lagoonbarrow.Instance, call *lagoonbarrow.Call) (*lagoonbarrow.Answer, error) {
+	next := f.replies[min(len(f.calls), len(f.replies)-1)]
+	f.calls = append(f.calls, call)
+	f.to = append(f.to, to.ID)
+	if next.err != nil {
+		return nil, next.err
+	}
+	answer := next.answer
+	answer.Call = call.ID
+	return &answer, nil
+}
+
+type noRecorder struct{}
+
+func (noRecorder) Record(event.Kind, event.Fields) {}
+
+func newForwarder(transport Transport, slack float64) *Forwarder {
+	directory := fakeDirectory{}
+	for _, id := range []lagoonbarrow.InstanceID{"a", "b", "c"} {
+		directory = append(directory, lagoonbarrow.Instance{
+			ID:    id,
+			Slots: 10,
+		})
+	}
+	return New(Config{
+		Directory: directory,
+		Chooser:   placement.New(placement.Config{}),
+		Transport: transport,
+		Budget: retry.New(retry.Config{
+			Slack:  slack,
+			Window: time.Second,
+			Nodes:  func() int { return 1 },
+		}),
+		Version:  func() lagoonbarrow.ConfigurationVersion { return 1 },
+		Heard:    func(lagoonbarrow.ConfigurationVersion) {},
+		Recorder: noRecorder{},
+	})
+}
+
+func newRequest(idempotent, nested bool) *Request {
+	now := time.Now()
+	return &Request{
+		ID: "request",
+		Route: &routing.Route{
+			Route: lagoonbarrow.Route{
+				Idempotent: idempotent,
+				Objective:  time.Second,
+				MaxServers: 2,
+			},
+		},
+		Nested:   nested,
+		Received: now,
+		Deadline: now.Add(time.Minute),
+	}
+}
+
+var (
+	served = reply{
+		answer: lagoonbarrow.Answer{
+			Outcome: lagoonbarrow.OutcomeDone,
+			Status:  200,
+			Offered: true,
+		},
+	}
+	refusedByNode = reply{
+		answer: lagoonbarrow.Answer{
+			Outcome: lagoonbarrow.OutcomeNotRun,
+			Reason:  lagoonbarrow.ReasonShed,
+		},
+	}
+	refusedByServer = reply{
+		answer: lagoonbarrow.Answer{
+			Outcome: lagoonbarrow.OutcomeNotRun,
+			Reason:  lagoonbarrow.ReasonShed,
+			Offered: true,
+		},
+	}
+	failedAtBackend = reply{
+		answer: lagoonbarrow.Answer{
+			Outcome: lagoonbarrow.OutcomeDone,
+			Status:  500,
+			Offered: true,
+		},
+	}
+	lostAtServer = reply{
+		answer: lagoonbarrow.Answer{
+			Outcome: lagoonbarrow.OutcomeUnknown,
+			Reason:  lagoonbarrow.ReasonBackend,
+			Offered: true,
+		},
+	}
+	notSent = reply{
+		err: lagoonbarrow.ErrNotSent,
+	}
+	lostBetweenNodes = reply{
+		err: lagoonbarrow.ErrAnswerLost,
+	}
+)
+
+// Guards against writes that run twice, refusals of requests that may have run,
+// repeats beyond the budget, and requests that fail although another instance has room.
+func TestRepeatsFollowWhatIsKnown(t *testing.T) {
+	rows := []struct {
+		name       string
+		idempotent bool
+		nested     bool
+		slack      float64
+		replies    []reply
+		outcome    lagoonbarrow.Outcome
+		status     int
+		calls      int
+	}{
+		{"served", false, false, 10, []reply{served}, lagoonbarrow.OutcomeDone, 200, 1},
+		{"refused by a node", false, false, 0, []reply{refusedByNode, notSent, served}, lagoonbarrow.OutcomeDone, 200, 3},
+		{"refused by all nodes", false, false, 0, []reply{refusedByNode}, lagoonbarrow.OutcomeNotRun, 0, 3},
+		{"write lost between nodes", false, true, 10, []reply{lostBetweenNodes, served}, lagoonbarrow.OutcomeUnknown, 0, 1},
+		{"write lost at its server", false, true, 10, []reply{lostAtServer, served}, lagoonbarrow.OutcomeUnknown, 0, 1},
+		{"write failed at its server", false, true, 10, []reply{failedAtBackend, served}, lagoonbarrow.OutcomeDone, 500, 1},
+		{"write refused by its server", false, true, 10, []reply{refusedByServer, served}, lagoonbarrow.OutcomeDone, 200, 2},
+		{"read lost, its client repeats it", true, false, 10, []reply{lostAtServer, served}, lagoonbarrow.OutcomeUnknown, 0, 1},
+		{"call lost", true, true, 10, []reply{lostAtServer, served}, lagoonbarrow.OutcomeDone, 200, 2},
+		{"call failed at its server", true, true, 10, []reply{failedAtBackend, served}, lagoonbarrow.OutcomeDone, 200, 2},
+		{"call lost without a budget", true, true, 0, []reply{lostAtServer, served}, lagoonbarrow.OutcomeUnknown, 0, 1},
+		{"call lost, then refused", true, true, 10, []reply{lostAtServer, refusedByNode}, lagoonbarrow.OutcomeUnknown, 0, 3},
+		{"call failed, then refused", true, true, 10, []reply{failedAtBackend, refusedByNode}, lagoonbarrow.OutcomeDone, 500, 3},
+		{"call lost at as many servers as allowed", true, true, 10, []reply{lostAtServer}, lagoonbarrow.OutcomeUnknown, 0, 2},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			transport := &fakeTransport{
+				replies: row.replies,
+			}
+			answer := newForwarder(transport, row.slack).Do(context.Background(), newRequest(row.idempotent, row.nested))
+			if answer.Outcome != row.outcome || answer.Status != row.status || len(transport.calls) != row.calls {
+				t.Fatalf("outcome %s status %d after %d calls, want %s %d %d", answer.Outcome, answer.Status, len(transport.calls), row.outcome, row.status, row.calls)
+			}
+			if answer.Outcome == lagoonbarrow.OutcomeNotRun && answer.RetryAfter <= 0 {
+				t.Fatal("a refusal without a time to come back")
+			}
+			asked := map[lagoonbarrow.InstanceID]bool{}
+			for _, id := range transport.to {
+				if asked[id] {
+					t.Fatalf("instance %s was asked twice", id)
+				}
+				asked[id] = true
+			}
+		})
+	}
+}
+
+// Guards against servers that are handed more time than is left.
+func TestTimeLeftIsPassedOn(t *testing.T) {
+	transport := &fakeTransport{
+		replies: []reply{refusedByNode, served},
+	}
+	request := newRequest(true, false)
+	request.Deadline = time.Now().Add(time.Second)
+	newForwarder(transport, 0).Do(context.Background(), request)
+	for _, call := range transport.calls {
+		if call.Remaining > time.Second || call.Remaining <= 0 {
+			t.Fatalf("%s are handed on", call.Remaining)
+		}
+	}
+}
+
+// Guards against requests that are sent although their time is over or their
+// client has left.
+func TestNothingIsSentTooLate(t *testing.T) {
+	transport := &fakeTransport{
+		replies: []reply{served},
+	}
+	late := newRequest(true, false)
+	late.Deadline = time.Now()
+	answer := newForwarder(transport, 0).Do(context.Background(), late)
+	if answer.Outcome != lagoonbarrow.OutcomeNotRun || len(transport.calls) != 0 {
+		t.Fatalf("late: %+v after %d calls", answer, len(transport.calls))
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	answer = newForwarder(transport, 0).Do(ctx, newRequest(true, false))
+	if answer.Reason != lagoonbarrow.ReasonCancelled || len(transport.calls) != 0 {
+		t.Fatalf("cancelled: %+v after %d calls", answer, len(transport.calls))
+	}
+}
+
+// Guards against waits that leave no time for the request itself, and calls of
+// running requests that are refused as soon as new requests.
+func TestMaxWait(t *testing.T) {
+	request := newRequest(true, false)
+	passing := maxWait(request, false)
+	last := maxWait(request, true)
+	if passing >= last || last > request.Route.Objective/2 {
+		t.Fatalf("passing %s, last %s", passing, last)
+	}
+	request.Nested = true
+	if nested := maxWait(request, true); nested <= last || nested >= time.Minute {
+		t.Fatalf("nested %s", nested)
+	}
+}
+
+// Guards against clients that were refused together and return together, at once
+// or too late.
+func TestReturnTime(t *testing.T) {
+	rows := []time.Duration{0, 300 * time.Millisecond, time.Hour}
+	for _, expected := range rows {
+		early := returnTime(expected, 0)
+		late := returnTime(expected, 0.999)
+		if early < leastReturn || late > 2*mostReturn || late <= early {
+			t.Errorf("%s: from %s to %s", expected, early, late)
+		}
+	}
+}
+
+// Guards against a transport error that is taken for a refusal although the call
+// may have reached its server.
+func TestUnknownTransportErrorsAreNoRefusals(t *testing.T) {
+	transport := &fakeTransport{
+		replies: []reply{{
+			err: errors.New("anything"),
+		}},
+	}
+	answer := newForwarder(transport, 0).Do(context.Background(), newRequest(false, false))
+	if answer.Outcome != lagoonbarrow.OutcomeUnknown {
+		t.Fatalf("outcome %s", answer.Outcome)
+	}
+}
--- a/internal/process/sidecar/settings.go
+++ b/sidecar.go
@@ -1,31 +1,27 @@
-package sidecar
+package lagoonbarrow
 
-import (
-	"time"
+import "time"
 
-	"lagoonbarrow"
-)
-
-// Settings are what a node process learns from its settings file.
-type Settings struct {
-	Instance lagoonbarrow.InstanceID
-	Zone     lagoonbarrow.Zone
-	Region   lagoonbarrow.Region
+// SidecarSettings are what the process beside a backend server learns from its settings file.
+type SidecarSettings struct {
+	Instance InstanceID
+	Zone     Zone
+	Region   Region
 	// Service is the service of the backend server beside this node.
-	Service lagoonbarrow.ServiceName
+	Service ServiceName
 	// Server is the address of the backend server.
-	Server lagoonbarrow.Address
+	Server Address
 	// Requests is where clients on this machine and the backend server send requests.
-	Requests lagoonbarrow.Address
+	Requests Address
 	// Ready is where the platform asks whether this node takes requests.
-	Ready lagoonbarrow.Address
+	Ready Address
 	// Heartbeats is where the backend server sends its heartbeats.
-	Heartbeats lagoonbarrow.Address
+	Heartbeats Address
 	// Peer is where other nodes send calls.
-	Peer    lagoonbarrow.Address
-	Metrics lagoonbarrow.Address
+	Peer    Address
+	Metrics Address
 	// Store is the address of the platform's store.
-	Store         lagoonbarrow.Address
+	Store         Address
 	StoreRowBytes int
 	// HeartbeatInterval is the usual time between two heartbeats.
 	HeartbeatInterval time.Duration
@@ -42,3 +38,11 @@
 	// ConfigurationMax is the time within which a change has to be in force.
 	ConfigurationMax time.Duration
 }
+
+// ConfigurationSource tells where the operator keeps the configuration and how
+// it is read.
+type ConfigurationSource struct {
+	Table  string
+	Key    string
+	Decode func(value []byte) (*Configuration, error)
+}
