--- a/internal/process/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -6,7 +6,7 @@
 	"io"
 	"time"
 
-	"github.com/pkg/errors"
+	client "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 	"github.com/valyala/fasthttp"
@@ -49,11 +49,13 @@
 }
 
 // New returns a scope tagged with the instance, service and availability zone.
-func New(config Config) (*Metrics, error) {
-	reporter, err := prometheus.Configuration{}.NewReporter(prometheus.ConfigurationOptions{})
-	if err != nil {
-		return nil, errors.Wrap(err, "metrics: create reporter")
-	}
+func New(config Config) *Metrics {
+	// A registry of its own lets several scopes live in one process.
+	registry := client.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{
+		Registerer: registry,
+		Gatherer:   registry,
+	})
 	scope, closer := tally.NewRootScope(
 		tally.ScopeOptions{
 			Prefix:         "lagoonbarrow",
@@ -72,7 +74,7 @@
 		scope:   scope,
 		closer:  closer,
 		handler: fasthttpadaptor.NewFastHTTPHandler(reporter.HTTPHandler()),
-	}, nil
+	}
 }
 
 // Scope returns the root scope.
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -94,15 +94,11 @@
 }
 
 func (n *Node) buildTelemetry() error {
-	var err error
-	n.metrics, err = metrics.New(metrics.Config{
+	n.metrics = metrics.New(metrics.Config{
 		Instance: n.settings.Instance,
 		Service:  n.settings.Service,
 		Zone:     n.settings.Zone,
 	})
-	if err != nil {
-		return err
-	}
 	n.scope = n.metrics.Scope()
 	n.clock = timeline.NewClock(time.Now)
 	n.timeline = timeline.New(timeline.Config{
--- /dev/null
+++ b/internal/process/sidecar/fleet_test.go
@@ -0,0 +1,210 @@
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"lagoonbarrow"
+	"lagoonbarrow/platform"
+	"lagoonbarrow/platform/standin"
+)
+
+// fleet is a store with some sidecars and their backend servers.
+type fleet struct {
+	t       *testing.T
+	store   *standin.Store
+	members []*member
+	version int
+}
+
+type member struct {
+	sidecar *Sidecar
+	server  *standin.Server
+}
+
+// services are the services of the members, one after the other.
+var services = []string{"alpha", "alpha", "beta"}
+
+// machines counts the loopback addresses in use by this process.
+var machines atomic.Int64
+
+// machine returns a function that gives the addresses of one machine. Each machine
+// has a loopback address of its own, so that no other socket takes its ports.
+func machine() func(port int) lagoonbarrow.Address {
+	number := machines.Add(1)
+	ip := fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%250, number/250, 1+number%250)
+	return func(port int) lagoonbarrow.Address {
+		return lagoonbarrow.Address(fmt.Sprintf("%s:%d", ip, port))
+	}
+}
+
+func newFleet(t *testing.T, work time.Duration, spoil func(string) standin.Spoiling) *fleet {
+	t.Helper()
+	store, err := standin.NewStore(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(store.Close)
+	f := &fleet{
+		t:     t,
+		store: store,
+	}
+	f.configure("alpha")
+	for i, service := range services {
+		server, err := standin.NewServer(standin.ServerConfig{
+			ID:      fmt.Sprintf("i-%d", i),
+			Service: service,
+			Slots:   20,
+			Work:    work,
+			Spoil:   spoil,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(server.Close)
+		f.members = append(f.members, &member{
+			sidecar: f.start(i, service, server.Address()),
+			server:  server,
+		})
+	}
+	for _, m := range f.members {
+		f.await("a heartbeat is taken", func() bool { return m.server.Beat(m.sidecar.settings.Heartbeats) == nil })
+		f.await("the sidecar is ready", m.ready)
+	}
+	f.await("all instances are known", func() bool {
+		for _, m := range f.members {
+			if len(m.sidecar.directory.Instances("alpha")) != 2 || len(m.sidecar.directory.Instances("beta")) != 1 {
+				return false
+			}
+		}
+		return true
+	})
+	return f
+}
+
+func (f *fleet) start(index int, service string, server lagoonbarrow.Address) *Sidecar {
+	f.t.Helper()
+	address := machine()
+	sidecar, err := New(Config{
+		Settings: lagoonbarrow.SidecarSettings{
+			Instance:          lagoonbarrow.InstanceID(fmt.Sprintf("node-%d", index)),
+			Zone:              "zone",
+			Service:           lagoonbarrow.ServiceName(service),
+			Server:            server,
+			Requests:          address(7001),
+			Ready:             address(7002),
+			Heartbeats:        address(7003),
+			Peer:              address(7004),
+			Metrics:           address(7005),
+			Store:             f.store.Address(),
+			HeartbeatInterval: time.Second,
+			StopTimeout:       6 * time.Second,
+			RetryRatio:        0.2,
+			RetrySlack:        40,
+			RetryWindow:       10 * time.Second,
+			MemoryBytes:       256 << 20,
+			MaxOpenFiles:      4096,
+		},
+		Store: platform.NewStore(platform.StoreConfig{
+			Address: f.store.Address(),
+			Logger:  hclog.NewNullLogger(),
+		}),
+		Configuration:    platform.Configuration(),
+		Headers:          platform.Headers(),
+		HeartbeatHandler: platform.HeartbeatHandler,
+		Logger:           hclog.NewNullLogger(),
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if err := sidecar.Start(context.Background()); err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(sidecar.close)
+	return sidecar
+}
+
+// configure makes the operator send the requests under /read/ to a service.
+func (f *fleet) configure(service string) {
+	f.version++
+	text := `{"version":VERSION,"services":[{"name":"alpha"},{"name":"beta"}],"hosts":[{"host":"one.example","paths":[` +
+		`{"name":"read","prefix":"/read/","kind":"idempotent","timeout":"5s","target-latency":"2s","priority":2,"service":"SERVICE","max-attempts":2},` +
+		`{"name":"file","prefix":"/file/","kind":"non_idempotent","timeout":"5s","target-latency":"2s","priority":0,"service":"beta","max-attempts":2}]}]}`
+	text = strings.ReplaceAll(text, "VERSION", fmt.Sprint(f.version))
+	f.store.Put("op", "config", []byte(strings.ReplaceAll(text, "SERVICE", service)))
+}
+
+func (f *fleet) await(what string, met func() bool) {
+	f.t.Helper()
+	for range 1500 {
+		if met() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	f.t.Fatalf("not met: %s", what)
+}
+
+func (m *member) ready() bool {
+	response, err := http.Get("http://" + string(m.sidecar.settings.Ready) + "/ready")
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// result is what a client gets.
+type result struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// send sends a request to a member's sidecar over a new connection.
+func (m *member) send(method, path, id string) result {
+	request, err := http.NewRequest(method, "http://"+string(m.sidecar.settings.Requests)+path, strings.NewReader("content"))
+	if err != nil {
+		return result{
+			err: err,
+		}
+	}
+	request.Host = "one.example"
+	request.Header.Set("Request-Id", id)
+	request.Header.Set("Deadline-Ms", "5000")
+	request.Header.Set("Caller-Service", "forged")
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return result{
+			err: err,
+		}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return result{
+		status: response.StatusCode,
+		header: response.Header,
+		body:   string(body),
+		err:    err,
+	}
+}
+
+func (f *fleet) runs(id string) int {
+	sum := 0
+	for _, m := range f.members {
+		sum += m.server.Runs(id)
+	}
+	return sum
+}
--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -107,7 +107,12 @@
 	s.timeline.Record(event.StopTimeout, event.Fields{})
 }
 
+// close closes all parts. It may be called more than once.
 func (s *Sidecar) close() {
+	s.closed.Do(s.closeParts)
+}
+
+func (s *Sidecar) closeParts() {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	s.report("request listener", s.requests.Stop(ctx))
@@ -120,6 +125,10 @@
 		part.Stop()
 	}
 	s.row.Stop()
+	for _, listener := range []*control{s.heartbeats, s.ready, s.scrape} {
+		s.report("listener", listener.stop(ctx))
+	}
+	s.report("metrics", s.metrics.Close())
 }
 
 func (s *Sidecar) report(part string, err error) {
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -85,6 +86,7 @@
 
 	nodes    atomic.Int64
 	stopping atomic.Bool
+	closed   sync.Once
 }
 
 // New builds a sidecar that is not started yet.
@@ -108,8 +110,7 @@
 }
 
 func (s *Sidecar) buildTelemetry() error {
-	var err error
-	s.metrics, err = metrics.New(metrics.Config{
+	s.metrics = metrics.New(metrics.Config{
 		Instance: s.settings.Instance,
 		Service:  s.settings.Service,
 		Zone:     s.settings.Zone,
@@ -122,7 +123,7 @@
 		Events:      timelineEvents,
 		RequestLogs: requestLogs,
 	})
-	return err
+	return nil
 }
 
 // buildState builds what is known of the call graph and of the server beside this node.
--- /dev/null
+++ b/internal/process/sidecar/sidecar_test.go
@@ -0,0 +1,159 @@
+package sidecar
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"lagoonbarrow/platform/standin"
+)
+
+// Guards against a path through the nodes that loses, changes or invents anything.
+func TestRequestsReachTheServersOfTheirRoute(t *testing.T) {
+	f := newFleet(t, 0, nil)
+	for i, m := range f.members {
+		id := fmt.Sprintf("read-%d", i)
+		got := m.send("GET", "/read/x?y=%2F&z", id)
+		want := string(standin.Echo("GET", "/read/x?y=%2F&z", id, []byte("content")))
+		if got.status != 200 || got.body != want || got.header.Get("Response-Signature") == "" || f.runs(id) != 1 {
+			t.Fatalf("result %+v, want the body %s, %d runs", got, want, f.runs(id))
+		}
+	}
+	if got := f.members[0].send("GET", "/none/", "none"); got.status != 404 {
+		t.Fatalf("without a route: %+v", got)
+	}
+	if got := f.members[0].send("POST", "/file/x", "file"); got.status != 200 || f.members[2].server.Runs("file") != 1 {
+		t.Fatalf("result %+v", got)
+	}
+}
+
+// Guards against a configuration that is not put in force, or that goes back.
+func TestConfigurationsComeInForceEverywhere(t *testing.T) {
+	f := newFleet(t, 0, nil)
+	f.configure("beta")
+	for i, m := range f.members {
+		f.await("the new version is in force", func() bool { return m.sidecar.routes.Version() == 2 })
+		id := fmt.Sprintf("read-%d", i)
+		m.send("GET", "/read/x", id)
+		if f.members[2].server.Runs(id) != 1 {
+			t.Fatalf("request %s went to the old service", id)
+		}
+	}
+	f.store.Put("op", "config", []byte("{"))
+	f.store.Put("op", "config", []byte(`{"version":1}`))
+	f.configure("alpha")
+	for _, m := range f.members {
+		f.await("the version after a wrong one is in force", func() bool { return m.sidecar.routes.Version() == 3 })
+	}
+}
+
+// Guards against a write that runs twice or is refused although it has run, with
+// servers that spoil answers.
+func TestWritesRunOnceAndRefusalsAreTrue(t *testing.T) {
+	spoilings := []standin.Spoiling{
+		"", standin.SpoilCut, standin.SpoilExtra, standin.SpoilLost, standin.SpoilRefused,
+		standin.SpoilFailed, standin.SpoilUnframed, standin.SpoilUnmarked, standin.SpoilStray,
+	}
+	f := newFleet(t, time.Millisecond, func(id string) standin.Spoiling {
+		var number int
+		_, _ = fmt.Sscanf(id, "file-%d", &number)
+		return spoilings[number%len(spoilings)]
+	})
+	var ended sync.WaitGroup
+	for i := range 90 {
+		ended.Add(1)
+		go func() {
+			defer ended.Done()
+			id := fmt.Sprintf("file-%d", i)
+			got := f.members[i%len(f.members)].send("POST", "/file/x", id)
+			runs := f.runs(id)
+			if runs > 1 {
+				t.Errorf("%s ran %d times", id, runs)
+			}
+			if got.status == 503 && runs != 0 {
+				t.Errorf("%s was refused and has run", id)
+			}
+			if got.status == 503 && got.header.Get("Retry-After") == "" {
+				t.Errorf("%s was refused without a time to come back", id)
+			}
+			if got.status == 200 && got.body != string(standin.Echo("POST", "/file/x", id, []byte("content"))) {
+				t.Errorf("%s got %s", id, got.body)
+			}
+		}()
+	}
+	ended.Wait()
+}
+
+// Guards against a server that is leaving and gets new requests after it was
+// acknowledged, from any node and with the store down.
+func TestLeavingServerGetsNothingNew(t *testing.T) {
+	f := newFleet(t, 0, nil)
+	f.store.SetFaults(standin.Faults{
+		Failure: standin.FailSilent,
+	})
+	leaving := f.members[0].server
+	leaving.SetState("draining")
+	if err := leaving.Beat(f.members[0].sidecar.settings.Heartbeats); err != nil {
+		t.Fatal(err)
+	}
+	before := leaving.Count().Arrivals
+	for i := range 30 {
+		id := fmt.Sprintf("read-%d", i)
+		if got := f.members[i%len(f.members)].send("GET", "/read/x", id); got.status != 200 {
+			t.Fatalf("result %+v", got)
+		}
+	}
+	if after := leaving.Count().Arrivals; after != before {
+		t.Fatalf("%d requests arrived at the leaving server", after-before)
+	}
+}
+
+// Guards against requests that are cut off or lost by a planned stop, and against
+// a stopping node that still counts as ready.
+func TestStopLosesNothing(t *testing.T) {
+	f := newFleet(t, 300*time.Millisecond, nil)
+	stopping := f.members[0]
+	stopped := make(chan struct{})
+	var ended sync.WaitGroup
+	for i := range 40 {
+		ended.Add(1)
+		go func() {
+			defer ended.Done()
+			id := fmt.Sprintf("file-%d", i)
+			// Those from the stopping node come in its first second; the others go on.
+			time.Sleep(time.Duration(i) * 25 * time.Millisecond)
+			got := f.members[i%len(f.members)].send("POST", "/file/x", id)
+			if got.err != nil || got.status != 200 && got.status != 503 {
+				t.Errorf("%s: %+v", id, got)
+			}
+			if got.status == 200 && f.runs(id) != 1 {
+				t.Errorf("%s ran %d times", id, f.runs(id))
+			}
+		}()
+	}
+	go func() {
+		stopping.sidecar.Stop()
+		close(stopped)
+	}()
+	f.await("the stopping node is not ready", func() bool { return !stopping.ready() })
+	ended.Wait()
+	<-stopped
+}
+
+// Guards against a node that keeps its row after it lost it, or that never gets one
+// because the store was away.
+func TestRowsReturnWithTheStore(t *testing.T) {
+	f := newFleet(t, 0, nil)
+	f.store.SetFaults(standin.Faults{
+		Failure: standin.FailReset,
+	})
+	f.store.Remove("lagoonbarrow-instances", "node-2")
+	f.store.DropHistory()
+	time.Sleep(100 * time.Millisecond)
+	f.store.SetFaults(standin.Faults{})
+	f.await("the row is back", func() bool { return f.store.Value("lagoonbarrow-instances", "node-2") != nil })
+	f.await("all nodes know the instance", func() bool {
+		return len(f.members[0].sidecar.directory.Instances("beta")) == 1 && len(f.members[1].sidecar.directory.Instances("beta")) == 1
+	})
+}
