Let two nodes read the store and pass changes on to the others

Cause: every node waited for changes at the store itself. Ruled out: longer waits alone, since a feed that goes silent must be noticed within the time that a configuration may take. A node's knowledge carries its age; who has none below 1.5 s is not believed, and the store is asked. Nodes ask the other nodes to close their connections at the beginning of a stop instead of cutting them at its end.

--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -114,6 +114,17 @@
 	d.publish()
 }
 
+// All returns all instances, those that are leaving too.
+func (d *Directory) All() []lagoonbarrow.Instance {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	all := make([]lagoonbarrow.Instance, 0, len(d.entries))
+	for _, instance := range d.entries {
+		all = append(all, instance)
+	}
+	return all
+}
+
 // publish makes the changes visible. The caller holds the mutex.
 func (d *Directory) publish() {
 	ready := map[lagoonbarrow.ServiceName][]lagoonbarrow.Instance{}
--- /dev/null
+++ b/internal/process/feed/feed.go
@@ -0,0 +1,160 @@
+package feed
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"lagoonbarrow"
+)
+
+const (
+	// readers is the number of nodes that read the store. With two, the loss of one
+	// doesn't send all others to the store.
+	readers = 2
+	// maxAge is the age above which a node's knowledge counts as stale. Readers hear
+	// from the store more often.
+	maxAge = 1500 * time.Millisecond
+	// answerTime is the time that a node's answer may take beyond the wait. A frozen or
+	// cut off reader is left after it.
+	answerTime = 300 * time.Millisecond
+	// avoidTime is how long a node that gave no useful answer is not asked.
+	avoidTime = 3 * time.Second
+)
+
+// Member is a node that may be asked.
+type Member struct {
+	ID   lagoonbarrow.InstanceID
+	Peer lagoonbarrow.Address
+}
+
+// Sender sends control messages to nodes.
+type Sender interface {
+	Send(ctx context.Context, to lagoonbarrow.Address, message lagoonbarrow.Message) (lagoonbarrow.Message, error)
+}
+
+// Config configures a Feed.
+type Config struct {
+	Self  lagoonbarrow.InstanceID
+	Store lagoonbarrow.ChangeFeed
+	// Members returns the known nodes.
+	Members func() []Member
+	Sender  Sender
+	Cache   *Cache
+	// Now tells the time; time.Now by default.
+	Now func() time.Time
+}
+
+// Feed implements lagoonbarrow.ChangeFeed over the store and other nodes.
+type Feed struct {
+	config Config
+
+	mu sync.Mutex
+	// avoided holds the nodes that gave no useful answer, until when.
+	avoided map[lagoonbarrow.InstanceID]time.Time
+}
+
+var _ lagoonbarrow.ChangeFeed = (*Feed)(nil)
+
+// New returns a feed.
+func New(config Config) *Feed {
+	if config.Now == nil {
+		config.Now = time.Now
+	}
+	return &Feed{
+		config:  config,
+		avoided: map[lagoonbarrow.InstanceID]time.Time{},
+	}
+}
+
+// Rows returns all rows of a table from the store. Nodes read all rows at their start
+// and after they lost the history, when their own knowledge of the others is old.
+func (f *Feed) Rows(ctx context.Context, table string) ([]lagoonbarrow.Row, lagoonbarrow.RowVersion, error) {
+	rows, version, err := f.config.Store.Rows(ctx, table)
+	if err == nil {
+		f.config.Cache.Replace(table, rows, version, 0)
+	}
+	return rows, version, err
+}
+
+// Changes waits for changes at a reader, or at the store if this node is one or no
+// reader gives a useful answer.
+func (f *Feed) Changes(ctx context.Context, table string, after lagoonbarrow.RowVersion, wait time.Duration) ([]lagoonbarrow.Change, lagoonbarrow.RowVersion, error) {
+	for _, reader := range f.readers() {
+		if reader.ID == f.config.Self {
+			break
+		}
+		answer, err := f.ask(ctx, reader, question{
+			Table: table,
+			After: after,
+			Wait:  wait,
+		})
+		if err != nil || !answer.Known || answer.HistoryLost || answer.Age > maxAge || answer.Version < after {
+			f.avoid(reader.ID)
+			continue
+		}
+		changes := answer.received(table)
+		f.config.Cache.Apply(table, changes, answer.Version, answer.Age)
+		return changes, answer.Version, nil
+	}
+	changes, version, err := f.config.Store.Changes(ctx, table, after, wait)
+	if err == nil {
+		f.config.Cache.Apply(table, changes, max(version, after), 0)
+	}
+	return changes, version, err
+}
+
+func (f *Feed) ask(ctx context.Context, reader Member, asked question) (*reply, error) {
+	body, err := msgpack.Marshal(asked)
+	if err != nil {
+		return nil, errors.Wrap(err, "feed: encode question")
+	}
+	ctx, cancel := context.WithTimeout(ctx, asked.Wait+answerTime)
+	defer cancel()
+	back, err := f.config.Sender.Send(ctx, reader.Peer, lagoonbarrow.Message{
+		Kind: kindChanges,
+		Body: body,
+	})
+	if err != nil {
+		return nil, err
+	}
+	answer := &reply{}
+	err = msgpack.Unmarshal(back.Body, answer)
+	return answer, errors.Wrap(err, "feed: decode reply")
+}
+
+func (f *Feed) avoid(id lagoonbarrow.InstanceID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.avoided[id] = f.config.Now().Add(avoidTime)
+}
+
+// readers returns the nodes that read the store, as this node sees it: those with
+// the lowest hashes of those not avoided. Nodes that see others may read it too.
+func (f *Feed) readers() []Member {
+	members := f.config.Members()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.config.Now()
+	for id, until := range f.avoided {
+		if now.After(until) {
+			delete(f.avoided, id)
+		}
+	}
+	members = slices.DeleteFunc(members, func(m Member) bool {
+		_, avoided := f.avoided[m.ID]
+		return avoided
+	})
+	slices.SortFunc(members, func(a, b Member) int {
+		if xxhash.Sum64String(string(a.ID)) < xxhash.Sum64String(string(b.ID)) {
+			return -1
+		}
+		return 1
+	})
+	return members[:min(readers, len(members))]
+}
--- /dev/null
+++ b/internal/process/feed/feed_test.go
@@ -0,0 +1,371 @@
+package feed
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lagoonbarrow"
+)
+
+const tableName = "table"
+
+// fakeStore is a store with one table whose calls are counted.
+type fakeStore struct {
+	mu      sync.Mutex
+	version lagoonbarrow.RowVersion
+	history []lagoonbarrow.Change
+	calls   int
+	down    bool
+	changed chan struct{}
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{
+		changed: make(chan struct{}),
+	}
+}
+
+func (s *fakeStore) put(key string, deleted bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.history = append(s.history, lagoonbarrow.Change{
+		Row: lagoonbarrow.Row{
+			Table:   tableName,
+			Key:     key,
+			Version: s.version,
+			Value:   []byte(fmt.Sprint(s.version)),
+		},
+		Deleted: deleted,
+	})
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *fakeStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+func (s *fakeStore) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+func (s *fakeStore) Rows(context.Context, string) ([]lagoonbarrow.Row, lagoonbarrow.RowVersion, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.down {
+		return nil, 0, lagoonbarrow.ErrUnavailable
+	}
+	rows := map[string]lagoonbarrow.Row{}
+	for _, change := range s.history {
+		delete(rows, change.Row.Key)
+		if !change.Deleted {
+			rows[change.Row.Key] = change.Row
+		}
+	}
+	var all []lagoonbarrow.Row
+	for _, row := range rows {
+		all = append(all, row)
+	}
+	return all, s.version, nil
+}
+
+func (s *fakeStore) Changes(ctx context.Context, _ string, after lagoonbarrow.RowVersion, wait time.Duration) ([]lagoonbarrow.Change, lagoonbarrow.RowVersion, error) {
+	s.mu.Lock()
+	s.calls++
+	s.mu.Unlock()
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		var found []lagoonbarrow.Change
+		for _, change := range s.history {
+			if change.Row.Version > after {
+				found = append(found, change)
+			}
+		}
+		version, changed, down := s.version, s.changed, s.down
+		s.mu.Unlock()
+		if down {
+			return nil, 0, lagoonbarrow.ErrUnavailable
+		}
+		if len(found) > 0 {
+			return found, version, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, version, nil
+		case <-ctx.Done():
+			return nil, 0, lagoonbarrow.ErrUnavailable
+		}
+	}
+}
+
+// fleet is a set of nodes over one store.
+type fleet struct {
+	store *fakeStore
+	nodes []*node
+}
+
+type node struct {
+	feed    *Feed
+	cache   *Cache
+	handler *Handler
+	mu      sync.Mutex
+	// cut makes questions to this node hang, dead makes them fail at once.
+	cut  bool
+	dead bool
+}
+
+func (n *node) set(cut, dead bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut = cut
+	n.dead = dead
+}
+
+func newFleet(count int) *fleet {
+	f := &fleet{
+		store: newFakeStore(),
+	}
+	for i := range count {
+		cache := NewCache()
+		n := &node{
+			cache: cache,
+			handler: &Handler{
+				Cache: cache,
+			},
+		}
+		n.feed = New(Config{
+			Self:    memberID(i),
+			Store:   f.store,
+			Members: f.members,
+			Sender:  f,
+			Cache:   cache,
+		})
+		f.nodes = append(f.nodes, n)
+	}
+	return f
+}
+
+func memberID(index int) lagoonbarrow.InstanceID {
+	return lagoonbarrow.InstanceID(fmt.Sprintf("node-%d", index))
+}
+
+func (f *fleet) members() []Member {
+	var members []Member
+	for i := range f.nodes {
+		members = append(members, Member{
+			ID:   memberID(i),
+			Peer: lagoonbarrow.Address(memberID(i)),
+		})
+	}
+	return members
+}
+
+func (f *fleet) Send(ctx context.Context, to lagoonbarrow.Address, message lagoonbarrow.Message) (lagoonbarrow.Message, error) {
+	for i, n := range f.nodes {
+		if to != lagoonbarrow.Address(memberID(i)) {
+			continue
+		}
+		n.mu.Lock()
+		cut, dead := n.cut, n.dead
+		n.mu.Unlock()
+		if dead {
+			return lagoonbarrow.Message{}, lagoonbarrow.ErrNotSent
+		}
+		if cut {
+			<-ctx.Done()
+			return lagoonbarrow.Message{}, lagoonbarrow.ErrAnswerLost
+		}
+		return n.handler.HandleMessage(ctx, "", message)
+	}
+	return lagoonbarrow.Message{}, lagoonbarrow.ErrNotSent
+}
+
+// reader returns the index of the node that the others ask first.
+func (f *fleet) reader() int {
+	first := f.nodes[0].feed.readers()[0].ID
+	for i := range f.nodes {
+		if memberID(i) == first {
+			return i
+		}
+	}
+	return -1
+}
+
+// follow lets all nodes but the excluded ones follow the table until the test ends.
+func (f *fleet) follow(t *testing.T, excluded map[int]bool) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	var ended sync.WaitGroup
+	for i, n := range f.nodes {
+		if excluded[i] {
+			continue
+		}
+		ended.Add(1)
+		go func() {
+			defer ended.Done()
+			version := lagoonbarrow.RowVersion(0)
+			known := false
+			for ctx.Err() == nil {
+				var err error
+				if known {
+					_, version, err = n.feed.Changes(ctx, tableName, version, 100*time.Millisecond)
+				} else {
+					_, version, err = n.feed.Rows(ctx, tableName)
+				}
+				known = err == nil
+				if err != nil {
+					time.Sleep(20 * time.Millisecond)
+				}
+			}
+		}()
+	}
+	t.Cleanup(func() {
+		cancel()
+		ended.Wait()
+	})
+}
+
+// await waits until the nodes know the version.
+func (f *fleet) await(t *testing.T, version lagoonbarrow.RowVersion, excluded map[int]bool) {
+	t.Helper()
+	for range 1000 {
+		behind := 0
+		for i, n := range f.nodes {
+			if !excluded[i] && n.cache.after(tableName, 0).version < version {
+				behind++
+			}
+		}
+		if behind == 0 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("some nodes don't know version %d", version)
+}
+
+// Guards against calls to the store that grow with the number of nodes.
+func TestOnlyReadersAskTheStore(t *testing.T) {
+	f := newFleet(30)
+	f.follow(t, nil)
+	f.store.put("a", false)
+	f.await(t, 1, nil)
+	before := f.store.count()
+	for range 5 {
+		f.store.put("a", false)
+		time.Sleep(20 * time.Millisecond)
+	}
+	f.await(t, 6, nil)
+	// Each of the readers may have asked once a change and once more.
+	if calls := f.store.count() - before; calls > 2*readers*6 {
+		t.Fatalf("%d calls for 5 changes", calls)
+	}
+}
+
+// Guards against nodes that learn nothing because the node that they ask is dead,
+// cut off, or has lost the store.
+func TestChangesArriveWithoutTheReader(t *testing.T) {
+	rows := []struct {
+		name string
+		make func(n *node)
+	}{
+		{"dead", func(n *node) { n.set(false, true) }},
+		{"cut off", func(n *node) { n.set(true, false) }},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			f := newFleet(6)
+			lost := map[int]bool{
+				f.reader(): true,
+			}
+			f.follow(t, lost)
+			row.make(f.nodes[f.reader()])
+			f.store.put("a", false)
+			f.await(t, 1, lost)
+		})
+	}
+}
+
+// Guards against a reader whose old knowledge is taken for recent.
+func TestStaleReaderIsLeft(t *testing.T) {
+	f := newFleet(4)
+	stale := f.nodes[f.reader()]
+	stale.cache.Replace(tableName, nil, 0, 2*maxAge)
+	f.store.put("a", false)
+	other := f.nodes[(f.reader()+1)%len(f.nodes)]
+	changes, version, err := other.feed.Changes(context.Background(), tableName, 0, time.Millisecond)
+	if err != nil || len(changes) != 1 || version != 1 {
+		t.Fatalf("changes %v, version %d, error %v", changes, version, err)
+	}
+}
+
+// Guards against nodes that don't notice when the store is back.
+func TestChangesArriveAfterAnOutage(t *testing.T) {
+	f := newFleet(6)
+	f.follow(t, nil)
+	f.store.put("a", false)
+	f.await(t, 1, nil)
+	f.store.setDown(true)
+	time.Sleep(200 * time.Millisecond)
+	f.store.put("b", false)
+	f.store.setDown(false)
+	f.await(t, 2, nil)
+}
+
+// Guards against deleted rows that stay known, and changes that are skipped.
+func TestCacheTellsOfAllChanges(t *testing.T) {
+	cache := NewCache()
+	row := func(key string, version lagoonbarrow.RowVersion) lagoonbarrow.Row {
+		return lagoonbarrow.Row{
+			Table:   tableName,
+			Key:     key,
+			Version: version,
+		}
+	}
+	if cache.after(tableName, 0).known {
+		t.Fatal("an empty cache knows the table")
+	}
+	cache.Replace(tableName, []lagoonbarrow.Row{row("a", 3), row("b", 5)}, 5, 0)
+	cache.Apply(tableName, []lagoonbarrow.Change{
+		{
+			Row: row("c", 6),
+		},
+		{
+			Row:     row("a", 7),
+			Deleted: true,
+		},
+	}, 8, 0)
+	found := cache.after(tableName, 5)
+	if found.historyLost || found.version != 8 || len(found.changes) != 2 || found.changes[0].Row.Key != "c" || !found.changes[1].Deleted {
+		t.Fatalf("view %+v", found)
+	}
+	if found := cache.after(tableName, 4); !found.historyLost {
+		t.Fatal("changes before the copy began are told as complete")
+	}
+	cache.Replace(tableName, nil, 4, 0)
+	if found := cache.after(tableName, 5); found.version != 8 {
+		t.Fatal("an older reading replaced the copy")
+	}
+}
+
+// Guards against an error of the store that is hidden from the follower.
+func TestStoreErrorsArePassedOn(t *testing.T) {
+	f := newFleet(1)
+	f.store.setDown(true)
+	if _, _, err := f.nodes[0].feed.Changes(context.Background(), tableName, 0, time.Millisecond); !errors.Is(err, lagoonbarrow.ErrUnavailable) {
+		t.Fatalf("error %v", err)
+	}
+}
--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -18,6 +18,8 @@
 	// back within two seconds of the store's return.
 	firstPause = 100 * time.Millisecond
 	lastPause  = time.Second
+	// refreshDelay is the time after which the feed is not waited for.
+	refreshDelay = 250 * time.Millisecond
 )
 
 // Config configures a Follower.
@@ -30,7 +32,11 @@
 	// Replace takes all rows, Apply changes in their order.
 	Replace func(rows []lagoonbarrow.Row)
 	Apply   func(changes []lagoonbarrow.Change)
-	Logger  hclog.Logger
+	// Pause is the time after changes in which further ones are left to gather.
+	Pause time.Duration
+	// Behind reports whether a refresh is still needed; always if it is nil.
+	Behind func() bool
+	Logger hclog.Logger
 }
 
 // Follower follows one table from Start until Stop.
@@ -88,6 +94,11 @@
 			return
 		case <-f.refresh:
 		}
+		// The feed usually brings the change meanwhile.
+		backoff.Pause(ctx, refreshDelay)
+		if f.config.Behind != nil && !f.config.Behind() {
+			continue
+		}
 		rows, _, err := f.config.Feed.Rows(ctx, f.config.Table)
 		if err != nil {
 			f.config.Logger.Warn("refresh of a table failed", "table", f.config.Table, "error", err)
@@ -138,6 +149,7 @@
 	}
 	if len(changes) > 0 {
 		f.config.Apply(changes)
+		backoff.Pause(ctx, f.config.Pause)
 	}
 	return max(next, version), nil
 }
--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -81,11 +81,28 @@
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(s.part(endPart)))
 	defer cancel()
+	drained := s.drainPeers(ctx)
 	s.awaitQuiet(ctx, began)
+	<-drained
 	s.close()
 	s.timeline.Record(event.NodeStopped, event.Fields{})
 }
 
+// drainPeers asks the other nodes to close their connections. A connection that is
+// cut instead may hold a call that its sender then can't repeat.
+func (s *Sidecar) drainPeers(ctx context.Context) <-chan struct{} {
+	drained := make(chan struct{})
+	if !s.keys.known() {
+		close(drained)
+		return drained
+	}
+	go func() {
+		defer close(drained)
+		s.report("peer server", s.server.Stop(ctx))
+	}()
+	return drained
+}
+
 // part returns a part of the stop's time limit.
 func (s *Sidecar) part(part float64) time.Duration {
 	return time.Duration(part * float64(s.settings.StopTimeout))
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -15,6 +15,7 @@
 	"lagoonbarrow"
 	"lagoonbarrow/internal/connection/peer"
 	"lagoonbarrow/internal/process/directory"
+	"lagoonbarrow/internal/process/feed"
 	"lagoonbarrow/internal/process/follower"
 	"lagoonbarrow/internal/process/metrics"
 	"lagoonbarrow/internal/process/placement"
@@ -31,9 +32,15 @@
 )
 
 const (
-	// feedWait is how long a call to the store waits for changes. A feed that went
-	// silent is noticed after it.
-	feedWait = 5 * time.Second
+	// configurationWait is how long one question for changes of the configuration
+	// waits. A source that went silent is noticed after it, and another one asked well
+	// within the time that a change may take.
+	configurationWait = 800 * time.Millisecond
+	// instancesWait is the same for the instances, whose changes are less urgent: a
+	// node refuses what its server can't take.
+	instancesWait = time.Second
+	// instancesPause lets the changes of many instances gather.
+	instancesPause = 300 * time.Millisecond
 	// reservedFiles is the part of the open files that isn't for connections.
 	reservedFiles = 300
 	// timelineEvents is the number of events kept in memory.
@@ -83,7 +90,10 @@
 	scrape       *control
 	followers    []*follower.Follower
 	refresh      func()
+	tables       *feed.Cache
 
+	// highest is the highest configuration version that a node has told of.
+	highest  atomic.Uint64
 	nodes    atomic.Int64
 	stopping atomic.Bool
 	closed   sync.Once
@@ -158,19 +168,29 @@
 		Window: s.settings.RetryWindow,
 		Nodes:  func() int { return int(s.nodes.Load()) },
 	})
+	s.tables = feed.NewCache()
+	source := feed.New(feed.Config{
+		Self:    s.settings.Instance,
+		Store:   s.config.Store,
+		Members: s.members,
+		Sender:  lateTransport{sidecar: s},
+		Cache:   s.tables,
+	})
 	configuration := follower.New(follower.Config{
-		Feed:    s.config.Store,
+		Feed:    source,
 		Table:   s.config.Configuration.Table,
-		Wait:    feedWait,
+		Wait:    configurationWait,
+		Behind:  s.behind,
 		Replace: s.configurationRows,
 		Apply:   s.configurationChanges,
 		Logger:  s.config.Logger.Named("configuration"),
 	})
 	s.refresh = configuration.Refresh
 	instances := follower.New(follower.Config{
-		Feed:    s.config.Store,
+		Feed:    source,
 		Table:   directory.Table,
-		Wait:    feedWait,
+		Wait:    instancesWait,
+		Pause:   instancesPause,
 		Replace: s.directory.Replace,
 		Apply:   s.directory.Apply,
 		Logger:  s.config.Logger.Named("directory"),
@@ -229,6 +249,7 @@
 		PeerKey:          key,
 		Self:             s.settings.Instance,
 		Calls:            s.handler,
+		Messages:         s.messages(),
 		MaxConnections:   s.connections(),
 		MaxBodyBytes:     maxBodyBytes,
 		MaxBufferedBytes: s.settings.MemoryBytes / bufferedPart,
@@ -238,6 +259,17 @@
 	return err
 }
 
+func (s *Sidecar) messages() map[string]lagoonbarrow.MessageHandler {
+	changes := &feed.Handler{
+		Cache: s.tables,
+	}
+	handlers := map[string]lagoonbarrow.MessageHandler{}
+	for _, kind := range changes.Kinds() {
+		handlers[kind] = changes
+	}
+	return handlers
+}
+
 // connections is the number of connections of one kind; there are four: from clients,
 // from and to other nodes, and to the backend server.
 func (s *Sidecar) connections() int {
@@ -347,9 +379,32 @@
 
 // heard asks for the configuration again when another node knows a newer one.
 func (s *Sidecar) heard(version lagoonbarrow.ConfigurationVersion) {
-	if version > s.routes.Version() {
-		s.refresh()
+	if version <= s.routes.Version() {
+		return
 	}
+	for known := s.highest.Load(); uint64(version) > known; known = s.highest.Load() {
+		if s.highest.CompareAndSwap(known, uint64(version)) {
+			break
+		}
+	}
+	s.refresh()
+}
+
+// behind reports whether another node knows a newer configuration.
+func (s *Sidecar) behind() bool {
+	return s.highest.Load() > uint64(s.routes.Version())
+}
+
+// members returns the nodes that may be asked for changes.
+func (s *Sidecar) members() []feed.Member {
+	var members []feed.Member
+	for _, instance := range s.directory.All() {
+		members = append(members, feed.Member{
+			ID:   instance.ID,
+			Peer: instance.Peer,
+		})
+	}
+	return members
 }
 
 // lateTransport refuses calls until the key of the nodes is known.
@@ -357,6 +412,14 @@
 	sidecar *Sidecar
 }
 
+// Send implements feed.Sender.
+func (t lateTransport) Send(ctx context.Context, to lagoonbarrow.Address, message lagoonbarrow.Message) (lagoonbarrow.Message, error) {
+	if !t.sidecar.keys.known() {
+		return lagoonbarrow.Message{}, errors.Wrap(lagoonbarrow.ErrNotSent, "sidecar: the key of the nodes is not known yet")
+	}
+	return t.sidecar.transport.Send(ctx, to, message)
+}
+
 // Call implements forward.Transport.
 func (t lateTransport) Call(ctx context.Context, to lagoonbarrow.Instance, call *lagoonbarrow.Call) (*lagoonbarrow.Answer, error) {
 	if !t.sidecar.keys.known() {
