Send nothing more to a server that no connection can be opened to

Cause: a node tried a crashed server anew for each call and waited up to 500 ms each time; nested calls have 700 ms. The server counts as down until its next heartbeat, and the dial timeout is 200 ms on the same machine.

--- a/internal/process/registration/server.go
+++ b/internal/process/registration/server.go
@@ -52,6 +52,9 @@
 	// left is set when the last server has said that it ends, or was found to be
 	// replaced by another one.
 	left bool
+	// down is set when no connection to the server could be opened, until its next
+	// heartbeat.
+	down bool
 	// ended holds the last ids that have left, so that late heartbeats of theirs don't
 	// bring them back.
 	ended []lagoonbarrow.ServerID
@@ -107,6 +110,7 @@
 		r.left = false
 	}
 	r.last = heartbeat
+	r.down = false
 	r.heardAt = r.config.Now()
 	r.publish("heartbeat")
 	return nil
@@ -163,6 +167,18 @@
 	r.publish("another server answers")
 }
 
+// Unreachable notes that no connection to the server of this id could be opened.
+// It gets no work until its next heartbeat.
+func (r *Registration) Unreachable(id lagoonbarrow.ServerID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if id != r.last.ID || r.down {
+		return
+	}
+	r.down = true
+	r.publish("no connection")
+}
+
 func (r *Registration) end(id lagoonbarrow.ServerID) {
 	r.ended = append(r.ended, id)
 	if len(r.ended) > endedKept {
@@ -172,7 +188,7 @@
 
 // publish tells of a change of the state. The caller holds the mutex.
 func (r *Registration) publish(cause string) {
-	ready := !r.left && r.last.State == lagoonbarrow.ServerReady
+	ready := !r.left && !r.down && r.last.State == lagoonbarrow.ServerReady
 	if ready != r.ready {
 		r.config.Logger.Info("the backend server changed its state", "server", r.last.ID, "ready", ready, "sequence", r.last.Sequence, "cause", cause)
 	}
--- a/internal/process/registration/server_test.go
+++ b/internal/process/registration/server_test.go
@@ -95,6 +95,19 @@
 			_ = r.Heartbeat(beat("a", 1, 1, ready))
 			r.Replaced("a")
 		}, "a", false},
+		{"no connection", func(r *Registration, _ *clock) {
+			_ = r.Heartbeat(beat("a", 1, 1, ready))
+			r.Unreachable("a")
+		}, "a", false},
+		{"a heartbeat after no connection", func(r *Registration, _ *clock) {
+			_ = r.Heartbeat(beat("a", 1, 1, ready))
+			r.Unreachable("a")
+			_ = r.Heartbeat(beat("a", 1, 2, ready))
+		}, "a", true},
+		{"no connection to the server before", func(r *Registration, _ *clock) {
+			_ = r.Heartbeat(beat("b", 2, 1, ready))
+			r.Unreachable("a")
+		}, "b", true},
 		{"a heartbeat of the server that was replaced", func(r *Registration, _ *clock) {
 			_ = r.Heartbeat(beat("a", 1, 1, ready))
 			r.Replaced("a")
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -49,6 +49,12 @@
 	requestLogs = 50
 	// maxBodyBytes bounds what a node holds for one request or answer.
 	maxBodyBytes = 64 << 20
+	// maxIdleToServer bounds the unused connections to the backend server, which
+	// accepts a few hundred in all.
+	maxIdleToServer = 64
+	// serverDialTimeout bounds opening a connection to the backend server, which is on
+	// the same machine. A server that lost power doesn't answer at all.
+	serverDialTimeout = 200 * time.Millisecond
 	// bufferedPart is the part of the memory that bodies between nodes may take.
 	bufferedPart = 4
 )
@@ -205,6 +211,8 @@
 	s.backend, err = backend.New(backend.Config{
 		Address:      s.settings.Server,
 		MaxBodyBytes: maxBodyBytes,
+		MaxIdle:      maxIdleToServer,
+		DialTimeout:  serverDialTimeout,
 		Headers:      s.config.Headers,
 		// A server may forget an idle connection without a sign.
 		FreshTime: -1,
@@ -214,13 +222,14 @@
 		return err
 	}
 	s.handler = execute.NewHandler(execute.Config{
-		Current:  s.registration.Current,
-		Replaced: s.registration.Replaced,
-		Version:  s.routes.Version,
-		Heard:    s.heard,
-		Gate:     s.gate,
-		Relay:    s.backend,
-		Recorder: s.timeline,
+		Current:     s.registration.Current,
+		Replaced:    s.registration.Replaced,
+		Unreachable: s.registration.Unreachable,
+		Version:     s.routes.Version,
+		Heard:       s.heard,
+		Gate:        s.gate,
+		Relay:       s.backend,
+		Recorder:    s.timeline,
 	})
 	s.keys = &peerKeys{
 		store:  s.config.Store,
--- a/internal/request/backend/client.go
+++ b/internal/request/backend/client.go
@@ -46,6 +46,8 @@
 	DialTimeout time.Duration
 	// IdleTimeout is how long an unused connection is kept; 10 s by default.
 	IdleTimeout time.Duration
+	// MaxIdle bounds the unused connections; all are kept by default.
+	MaxIdle int
 	// Headers names the headers of servers that Relay sends to.
 	Headers lagoonbarrow.ServerHeaders
 	// FreshTime is how long a connection may have been idle to be used for a request
@@ -82,6 +84,9 @@
 	if config.IdleTimeout <= 0 {
 		config.IdleTimeout = defaultIdleTimeout
 	}
+	if config.MaxIdle <= 0 {
+		config.MaxIdle = config.Connections
+	}
 	if config.FreshTime == 0 {
 		config.FreshTime = defaultFreshTime
 	}
--- a/internal/request/backend/pool.go
+++ b/internal/request/backend/pool.go
@@ -157,11 +157,15 @@
 	}
 }
 
-// trim closes the connections that were idle for too long. The idle list is
-// ordered by idleSince. The caller holds the mutex.
+// trim closes the connections that were idle for too long or are too many. The idle
+// list is ordered by idleSince. The caller holds the mutex.
 func (p *pool) trim() {
 	oldest := time.Now().Add(-p.config.IdleTimeout)
-	old := 0
+	old := max(0, len(p.idle)-p.config.MaxIdle)
+	for i := range old {
+		p.idle[i].close()
+		p.idle[i] = nil
+	}
 	for old < len(p.idle) && p.idle[old].idleSince.Before(oldest) {
 		p.idle[old].close()
 		p.idle[old] = nil
--- a/internal/request/backend/relay.go
+++ b/internal/request/backend/relay.go
@@ -34,7 +34,11 @@
 	}
 	used, err := c.pool.acquire(ctx, !call.AtMostOnce)
 	if err != nil {
-		return failed(ctx, call, lagoonbarrow.OutcomeNotRun)
+		refusal := failed(ctx, call, lagoonbarrow.OutcomeNotRun)
+		if refusal.Reason == lagoonbarrow.ReasonBackend {
+			refusal.Reason = lagoonbarrow.ReasonUnreachable
+		}
+		return refusal
 	}
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
--- a/internal/request/backend/relay_test.go
+++ b/internal/request/backend/relay_test.go
@@ -138,3 +138,27 @@
 		t.Fatalf("%d connections were opened, want 2", kept)
 	}
 }
+
+// Guards against a server that is down and is taken for one that refuses.
+func TestRelayTellsWhenThereIsNoConnection(t *testing.T) {
+	client, server := relayClient(t, standin.ServerConfig{})
+	server.Close()
+	answer := relay(client, relayCall("first"))
+	if answer.Outcome != lagoonbarrow.OutcomeNotRun || answer.Reason != lagoonbarrow.ReasonUnreachable || answer.Offered {
+		t.Fatalf("answer %+v", answer)
+	}
+}
+
+// Guards against idle connections that use up what the server accepts.
+func TestRelayKeepsFewIdleConnections(t *testing.T) {
+	client, _ := relayClient(t, standin.ServerConfig{})
+	client.pool.config.MaxIdle = 2
+	for _, id := range []string{"first", "second", "third"} {
+		call := relayCall(id)
+		call.AtMostOnce = true
+		relay(client, call)
+	}
+	if kept := len(client.pool.idle); kept != 2 {
+		t.Fatalf("%d idle connections are kept", kept)
+	}
+}
--- a/internal/request/execute/handler.go
+++ b/internal/request/execute/handler.go
@@ -27,6 +27,8 @@
 	Current func() (registration.Server, bool)
 	// Replaced is told that another server answers at the server's address.
 	Replaced func(id lagoonbarrow.ServerID)
+	// Unreachable is told that no connection to the server could be opened.
+	Unreachable func(id lagoonbarrow.ServerID)
 	// Version returns the version of the configuration in force.
 	Version func() lagoonbarrow.ConfigurationVersion
 	// Heard is told the versions that other nodes know.
@@ -89,12 +91,21 @@
 	done := h.running.add(call, deadline)
 	defer done()
 	answer := h.config.Relay.Relay(ctx, call, deadline)
-	if answer.Status == statusMisdirected && answer.Outcome == lagoonbarrow.OutcomeNotRun {
-		h.config.Replaced(call.Server)
-	}
+	h.observe(call.Server, answer)
 	return answer
 }
 
+// observe notes what a refusal tells of the server.
+func (h *Handler) observe(server lagoonbarrow.ServerID, answer *lagoonbarrow.Answer) {
+	switch {
+	case answer.Outcome != lagoonbarrow.OutcomeNotRun:
+	case answer.Status == statusMisdirected:
+		h.config.Replaced(server)
+	case !answer.Offered && answer.Reason == lagoonbarrow.ReasonUnreachable:
+		h.config.Unreachable(server)
+	}
+}
+
 // statusMisdirected is the status of a server that is not the expected one.
 const statusMisdirected = 421
 
--- a/internal/request/execute/handler_test.go
+++ b/internal/request/execute/handler_test.go
@@ -21,7 +21,9 @@
 	mu       sync.Mutex
 	ready    bool
 	replaced lagoonbarrow.ServerID
-	answer   lagoonbarrow.Answer
+	// unreachable is the server that was found unreachable.
+	unreachable lagoonbarrow.ServerID
+	answer      lagoonbarrow.Answer
 	// block holds runs back until it is closed.
 	block chan struct{}
 	runs  []*lagoonbarrow.Call
@@ -64,13 +66,14 @@
 	gate := slots.New(slots.Config{})
 	gate.SetSlots(1)
 	handler := NewHandler(Config{
-		Current:  server.current,
-		Replaced: func(id lagoonbarrow.ServerID) { server.replaced = id },
-		Version:  func() lagoonbarrow.ConfigurationVersion { return 1 },
-		Heard:    func(lagoonbarrow.ConfigurationVersion) {},
-		Gate:     gate,
-		Relay:    server,
-		Recorder: noRecorder{},
+		Current:     server.current,
+		Replaced:    func(id lagoonbarrow.ServerID) { server.replaced = id },
+		Unreachable: func(id lagoonbarrow.ServerID) { server.unreachable = id },
+		Version:     func() lagoonbarrow.ConfigurationVersion { return 1 },
+		Heard:       func(lagoonbarrow.ConfigurationVersion) {},
+		Gate:        gate,
+		Relay:       server,
+		Recorder:    noRecorder{},
 	})
 	return handler, gate
 }
@@ -181,6 +184,19 @@
 	}
 }
 
+// Guards against a server that is down and is tried again for every call.
+func TestUnreachableServerIsNoticed(t *testing.T) {
+	server := &fakeServer{
+		ready:  true,
+		answer: *lagoonbarrow.Refuse("", lagoonbarrow.ReasonUnreachable),
+	}
+	handler, _ := newHandler(server)
+	handler.HandleCall(context.Background(), newCall("request"))
+	if server.unreachable != "i-1" {
+		t.Fatalf("unreachable %q", server.unreachable)
+	}
+}
+
 // Guards against requests of a server that lose the importance of the request that
 // it is running.
 func TestParentIsFoundByTheRequestID(t *testing.T) {
