Serve whole requests under overload, and serve calls longer at a stop

Cause: under overload of the deepest service every request got some of its nested calls and failed at another; their work was wasted. Nested calls now queue by the priority of the request that they belong to, which holds a hash of its id, and a more important newcomer displaces a less important waiter. A stopping node refused calls at once although its server went on. Ruled out: a longer queue; the waits are bounded by the calls' deadlines.

--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -18,8 +18,9 @@
 	// quietTime without requests ends the stop early.
 	quietTime = 500 * time.Millisecond
 	// acceptPart and endPart are the parts of the stop's time limit after which no
-	// request is accepted and the process ends.
-	acceptPart = 0.6
+	// request is accepted and the process ends. What is accepted last still has two
+	// seconds.
+	acceptPart = 0.55
 	endPart    = 0.9
 	// stopPoll is the time between two looks at the requests in progress.
 	stopPoll = 20 * time.Millisecond
@@ -73,14 +74,13 @@
 	began := time.Now()
 	s.timeline.Record(event.NodeStopping, event.Fields{})
 	s.stopping.Store(true)
-	s.handler.Close()
 	s.requests.Drain()
-	server, known := s.registration.Current()
-	if known {
-		s.serverChanged(server, false)
-	}
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(s.part(endPart)))
 	defer cancel()
+	// The server beside this node usually goes on; its slots are of use to others
+	// while this node's clients leave.
+	s.awaitClients(ctx, began)
+	s.leave()
 	drained := s.drainPeers(ctx)
 	s.awaitQuiet(ctx, began)
 	<-drained
@@ -88,6 +88,29 @@
 	s.timeline.Record(event.NodeStopped, event.Fields{})
 }
 
+// leave refuses further calls of other nodes and tells them so.
+func (s *Sidecar) leave() {
+	s.handler.Close()
+	server, known := s.registration.Current()
+	if known {
+		s.serverChanged(server, false)
+	}
+}
+
+// awaitClients waits until the clients had time to leave and have left.
+func (s *Sidecar) awaitClients(ctx context.Context, began time.Time) {
+	for ctx.Err() == nil {
+		passed := time.Since(began)
+		if passed > s.part(acceptPart) {
+			return
+		}
+		if passed > noticeTime && s.requests.Idle() > quietTime {
+			return
+		}
+		backoff.Pause(ctx, stopPoll)
+	}
+}
+
 // drainPeers asks the other nodes to close their connections. A connection that is
 // cut instead may hold a call that its sender then can't repeat.
 func (s *Sidecar) drainPeers(ctx context.Context) <-chan struct{} {
@@ -108,15 +131,13 @@
 	return time.Duration(part * float64(s.settings.StopTimeout))
 }
 
-// awaitQuiet waits until clients have gone and all requests have ended.
+// awaitQuiet waits until all requests and calls have ended.
 func (s *Sidecar) awaitQuiet(ctx context.Context, began time.Time) {
 	for ctx.Err() == nil {
-		passed := time.Since(began)
-		if passed > s.part(acceptPart) {
+		if time.Since(began) > s.part(acceptPart) {
 			s.requests.Close()
 		}
-		idle := s.requests.InFlight() == 0 && s.handler.InFlight() == 0 && s.requests.Idle() > quietTime
-		if passed > noticeTime && idle {
+		if s.requests.InFlight() == 0 && s.handler.InFlight() == 0 {
 			return
 		}
 		backoff.Pause(ctx, stopPoll)
--- a/internal/process/slots/gate.go
+++ b/internal/process/slots/gate.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,16 +33,18 @@
 
 // Demand describes a request that asks for a slot.
 type Demand struct {
-	Importance lagoonbarrow.Importance
+	Priority lagoonbarrow.Priority
 	// Nested requests belong to a request that already holds slots elsewhere, and go
-	// before others of their importance.
+	// before others of their importance. Among them the priority decides, which all
+	// nested requests of one client's request share: under overload some requests get
+	// all of their calls served, rather than all requests some of theirs.
 	Nested bool
 	// MaxWait is the longest time to wait for a slot.
 	MaxWait time.Duration
 }
 
 func (d Demand) level() int {
-	level := 2 * int(d.Importance)
+	level := 2 * int(d.Priority.Importance())
 	if d.Nested {
 		level++
 	}
@@ -67,8 +70,10 @@
 }
 
 type waiter struct {
-	level   int
-	granted chan error
+	level int
+	// priority orders the waiters of a level; equal ones go in their order of arrival.
+	priority lagoonbarrow.Priority
+	granted  chan error
 }
 
 // Gate holds the slots of one backend server.
@@ -137,33 +142,53 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	level := demand.level()
-	ahead := g.ahead(level)
+	self := &waiter{
+		level:   level,
+		granted: make(chan error, 1),
+	}
+	if demand.Nested {
+		self.priority = demand.Priority
+	}
+	place := g.place(self)
+	ahead := place + g.above(level)
 	if g.running < g.limit && ahead == 0 {
 		g.running++
 		return nil, nil
 	}
 	wait := g.expectedWait(ahead)
-	if wait > demand.MaxWait || g.queued >= queueFactor*g.limit && !g.displace(level) {
+	if wait > demand.MaxWait || g.queued >= queueFactor*g.limit && !g.displace(self) {
 		return nil, g.refusal(wait, lagoonbarrow.ErrShed)
 	}
-	self := &waiter{
-		level:   level,
-		granted: make(chan error, 1),
-	}
-	g.queues[level] = append(g.queues[level], self)
+	g.queues[level] = slices.Insert(g.queues[level], place, self)
 	g.queued++
 	return self, nil
 }
 
-// ahead counts the waiters that get a slot before a newcomer of the level.
-func (g *Gate) ahead(level int) int {
+// place returns the waiter's place in the queue of its level.
+func (g *Gate) place(self *waiter) int {
+	queue := g.queues[self.level]
+	for i := len(queue); i > 0; i-- {
+		if queue[i-1].priority >= self.priority {
+			return i
+		}
+	}
+	return 0
+}
+
+// above counts the waiters of higher levels.
+func (g *Gate) above(level int) int {
 	count := 0
-	for _, queue := range g.queues[level:] {
+	for _, queue := range g.queues[level+1:] {
 		count += len(queue)
 	}
 	return count
 }
 
+// ahead counts the waiters that get a slot before one that comes last in its level.
+func (g *Gate) ahead(level int) int {
+	return g.above(level) + len(g.queues[level])
+}
+
 // expectedWait is the time until the newcomer behind so many others gets a slot.
 func (g *Gate) expectedWait(ahead int) time.Duration {
 	if g.limit == 0 {
@@ -180,14 +205,17 @@
 	}
 }
 
-// displace refuses the last waiter of the least level below the given one.
-func (g *Gate) displace(level int) bool {
-	for below := range level {
+// displace refuses the last waiter if it is less important than the newcomer.
+func (g *Gate) displace(newcomer *waiter) bool {
+	for below := range newcomer.level + 1 {
 		last := len(g.queues[below]) - 1
 		if last < 0 {
 			continue
 		}
 		displaced := g.queues[below][last]
+		if below == newcomer.level && displaced.priority >= newcomer.priority {
+			return false
+		}
 		g.queues[below] = g.queues[below][:last]
 		g.queued--
 		displaced.granted <- g.refusal(g.expectedWait(g.ahead(below)), lagoonbarrow.ErrShed)
--- a/internal/process/slots/gate_test.go
+++ b/internal/process/slots/gate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"time"
@@ -58,8 +59,8 @@
 	release()
 	defer acquire(t, gate, Demand{})()
 	_, err := gate.Acquire(context.Background(), Demand{
-		Importance: lagoonbarrow.ImportanceCritical,
-		MaxWait:    10 * time.Millisecond,
+		Priority: lagoonbarrow.NewPriority(lagoonbarrow.ImportanceCritical, 0),
+		MaxWait:  10 * time.Millisecond,
 	})
 	var refusal *Refusal
 	if !errors.As(err, &refusal) || !errors.Is(err, lagoonbarrow.ErrShed) {
@@ -80,18 +81,18 @@
 	var ended sync.WaitGroup
 	demands := []Demand{
 		{
-			Importance: lagoonbarrow.ImportanceDeferrable,
+			Priority: lagoonbarrow.NewPriority(lagoonbarrow.ImportanceDeferrable, 0),
 		},
 		{
-			Importance: lagoonbarrow.ImportanceCritical,
+			Priority: lagoonbarrow.NewPriority(lagoonbarrow.ImportanceCritical, 0),
 		},
 		{
-			Importance: lagoonbarrow.ImportanceDeferrable,
-			Nested:     true,
+			Priority: lagoonbarrow.NewPriority(lagoonbarrow.ImportanceDeferrable, 0),
+			Nested:   true,
 		},
 		{
-			Importance: lagoonbarrow.ImportanceCritical,
-			Nested:     true,
+			Priority: lagoonbarrow.NewPriority(lagoonbarrow.ImportanceCritical, 0),
+			Nested:   true,
 		},
 	}
 	for i, demand := range demands {
@@ -123,6 +124,93 @@
 	}
 }
 
+// Guards against calls of many requests that each get some of their calls served and
+// fail all the same, where some requests could be served whole. The load is three
+// times what the server can run; each request makes four calls, one after the other.
+func TestOverloadServesWholeRequests(t *testing.T) {
+	const (
+		steps    = 2000
+		calls    = 4
+		patience = 12
+	)
+	gate := New(Config{})
+	gate.SetSlots(2)
+	type request struct {
+		priority lagoonbarrow.Priority
+		left     int
+		expires  int
+		waiting  *waiter
+	}
+	var active []*request
+	shuffle := rand.New(rand.NewPCG(1, 1))
+	begun, whole := 0, 0
+	// Each step serves two calls, and three requests in two steps ask for six.
+	for step := range steps {
+		for range 1 + step%2 {
+			active = append(active, &request{
+				priority: lagoonbarrow.NewPriority(lagoonbarrow.ImportanceDeferrable, shuffle.Uint64()),
+				left:     calls,
+			})
+			begun++
+		}
+		// Calls arrive in any order, not in that of their requests.
+		shuffle.Shuffle(len(active), func(i, j int) { active[i], active[j] = active[j], active[i] })
+		var running int
+		var still []*request
+		for _, r := range active {
+			if r.waiting == nil {
+				r.expires = step + patience
+				self, err := gate.enter(Demand{
+					Priority: r.priority,
+					Nested:   true,
+					MaxWait:  time.Minute,
+				})
+				if err != nil {
+					continue
+				}
+				r.waiting = self
+				if self == nil {
+					r.waiting = &waiter{
+						granted: make(chan error, 1),
+					}
+					r.waiting.granted <- nil
+				}
+			}
+			select {
+			case err := <-r.waiting.granted:
+				if err != nil {
+					continue
+				}
+				running++
+				r.waiting = nil
+				r.left--
+			default:
+				if step > r.expires {
+					gate.mu.Lock()
+					gate.remove(r.waiting)
+					gate.mu.Unlock()
+					continue
+				}
+			}
+			if r.left == 0 {
+				whole++
+				continue
+			}
+			still = append(still, r)
+		}
+		active = still
+		gate.mu.Lock()
+		gate.running -= running
+		gate.grant()
+		gate.mu.Unlock()
+	}
+	possible := steps * 2 / calls
+	t.Logf("%d of %d requests were served whole, %d were possible", whole, begun, possible)
+	if float64(whole) < 0.9*float64(possible) {
+		t.Fatalf("%d of %d requests were served whole, %d were possible", whole, begun, possible)
+	}
+}
+
 // Guards against slots that are lost to callers who gave up waiting.
 func TestAbandonedWaitersLeaveTheQueue(t *testing.T) {
 	gate := newGate(1)
@@ -169,8 +257,8 @@
 	defer cancel()
 	go func() {
 		_, _ = gate.Acquire(ctx, Demand{
-			Importance: lagoonbarrow.ImportanceCritical,
-			MaxWait:    time.Minute,
+			Priority: lagoonbarrow.NewPriority(lagoonbarrow.ImportanceCritical, 0),
+			MaxWait:  time.Minute,
 		})
 	}()
 	if err := <-refused; !errors.Is(err, lagoonbarrow.ErrShed) {
--- a/internal/request/entry/routed.go
+++ b/internal/request/entry/routed.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
@@ -164,7 +165,7 @@
 func (l *RoutedListener) inherit(request *forward.Request) {
 	parent, found := l.config.Parent(request.ID)
 	if !found {
-		request.Priority = lagoonbarrow.NewPriority(request.Route.Importance, 0)
+		request.Priority = lagoonbarrow.NewPriority(request.Route.Importance, xxhash.Sum64String(string(request.ID)))
 		return
 	}
 	request.Nested = true
--- a/internal/request/execute/handler.go
+++ b/internal/request/execute/handler.go
@@ -76,9 +76,9 @@
 		return refusal
 	}
 	release, err := h.config.Gate.Acquire(ctx, slots.Demand{
-		Importance: call.Priority.Importance(),
-		Nested:     call.Nested,
-		MaxWait:    min(call.MaxWait, call.Remaining),
+		Priority: call.Priority,
+		Nested:   call.Nested,
+		MaxWait:  min(call.MaxWait, call.Remaining),
 	})
 	if err != nil {
 		return refuse(call, err)
