Send compact heads between nodes

A call's head held 330 bytes of field names and a second frame to end it, and the request's id three times. Heads are arrays (protocol version 2), a body within the head frame needs no end frame since the frame's checksum covers it, the id travels once. Ruled out: compression, since heads have a few hundred bytes.

--- a/call.go
+++ b/call.go
@@ -76,8 +76,10 @@
 	HeaderIdempotencyKey = "Idempotency-Key"
 )
 
-// HeaderField is one HTTP header line.
+// HeaderField is one HTTP header line. Between nodes it is an array of two texts.
 type HeaderField struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
 	Name  string `msgpack:"name"`
 	Value string `msgpack:"value"`
 }
--- a/instance.go
+++ b/instance.go
@@ -39,6 +39,8 @@
 
 // Load is what a node measured of its own backend server.
 type Load struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
 	Limit   int `msgpack:"limit" json:"limit"`
 	Running int `msgpack:"running" json:"running"`
 	Queued  int `msgpack:"queued" json:"queued"`
--- a/internal/connection/peer/connection.go
+++ b/internal/connection/peer/connection.go
@@ -95,11 +95,10 @@
 	return count
 }
 
-// singleFrame reports whether the head frame is all there is of a message or reply.
-// Its checksum covers the inline body, and control bytes are bounded (design
-// 1.3), so there is no end frame.
-func (c *connection) singleFrame(body []byte) bool {
-	return c.purpose == purposeControl && len(body) <= inlineBytes
+// singleFrame reports whether the head frame holds the whole body. Its checksum
+// covers the body, so there is no end frame.
+func singleFrame(body []byte) bool {
+	return len(body) <= inlineBytes
 }
 
 // send writes a head frame, the body frames and the end frame. The error is nil
@@ -108,13 +107,10 @@
 	if err := c.out.Append(head); err != nil {
 		return err
 	}
-	if c.singleFrame(body) {
+	if singleFrame(body) {
 		return c.out.Flush()
 	}
 	rest := body
-	if inline(body) != nil {
-		rest = nil
-	}
 	size := min(chunkBytes, c.frames-chunkOverhead)
 	for len(rest) > 0 {
 		part := rest[:min(size, len(rest))]
@@ -151,12 +147,9 @@
 // its end frame. It returns ErrFrame for anything unexpected. With keep false
 // the body is read and dropped.
 func (c *connection) receiveBody(id string, start []byte, total int, keep bool) ([]byte, error) {
-	if len(start) == total && c.singleFrame(start) {
+	if len(start) == total && singleFrame(start) {
 		return start, nil
 	}
-	if len(start) == total {
-		return start, c.receiveEnd(id, start, true)
-	}
 	if len(start) != 0 {
 		return nil, errors.Wrap(lagoonbarrow.ErrFrame, "peer: incomplete inline body")
 	}
--- a/internal/connection/peer/wire.go
+++ b/internal/connection/peer/wire.go
@@ -7,8 +7,9 @@
 	"lagoonbarrow"
 )
 
-// protocolVersion is the version of the frames in this file.
-const protocolVersion = 1
+// protocolVersion is the version of the frames in this file. Since version 2 heads
+// are arrays, and a body within the head frame needs no end frame.
+const protocolVersion = 2
 
 const (
 	// inlineBytes is the largest body that travels in the head frame.
@@ -76,14 +77,19 @@
 	Reason  refusalReason `msgpack:"reason"`
 }
 
-// callHead is a call whose body is inline or follows in body frames.
+// callHead is a call whose body is inline or follows in body frames. It is encoded
+// as an array: names of fields would be more bytes than their values. New fields
+// are added at the end.
 type callHead struct {
+	_msgpack          struct{} `msgpack:",as_array"`
 	lagoonbarrow.Call `msgpack:",inline"`
 	BodyBytes         int `msgpack:"body-bytes"`
 }
 
-// answer is an answer whose body is inline or follows in body frames.
+// answer is an answer whose body is inline or follows in body frames. It is encoded
+// like callHead.
 type answer struct {
+	_msgpack            struct{} `msgpack:",as_array"`
 	lagoonbarrow.Answer `msgpack:",inline"`
 	BodyBytes           int `msgpack:"body-bytes"`
 }
--- a/internal/request/backend/relay.go
+++ b/internal/request/backend/relay.go
@@ -59,6 +59,9 @@
 		request.Header.Add(field.Name, field.Value)
 	}
 	request.Header.SetHost(call.Host)
+	if call.Request != "" {
+		request.Header.Set(c.config.Headers.RequestID, string(call.Request))
+	}
 	if call.Server != "" {
 		request.Header.Set(c.config.Headers.ExpectedServer, string(call.Server))
 	}
@@ -138,6 +141,8 @@
 		answer.Outcome = lagoonbarrow.OutcomeUnknown
 		answer.Reason = lagoonbarrow.ReasonBackend
 	default:
+		// The node where the request began knows its id.
+		header.Del(c.config.Headers.RequestID)
 		answer.Header = forwarded(fieldsOf(header))
 		answer.Body = append([]byte(nil), response.Body()...)
 	}
--- a/internal/request/entry/routed.go
+++ b/internal/request/entry/routed.go
@@ -64,6 +64,7 @@
 	listener := &RoutedListener{
 		config: config,
 		dropped: []string{
+			strings.ToLower(config.Headers.RequestID),
 			strings.ToLower(config.Headers.Deadline),
 			strings.ToLower(config.Headers.ExpectedServer),
 			strings.ToLower(config.Headers.CallerService),
@@ -121,7 +122,7 @@
 	ctx, cancel := l.server.watcher.follow(http)
 	defer cancel()
 	answer := l.config.Forwarder.Do(ctx, request)
-	l.write(http, answer)
+	l.write(http, request.ID, answer)
 	if answer.Outcome != lagoonbarrow.OutcomeDone {
 		l.record(http, request, answer)
 	}
@@ -203,13 +204,14 @@
 }
 
 // write writes a backend server's answer unchanged, or the node's own one.
-func (l *RoutedListener) write(http *fasthttp.RequestCtx, answer *lagoonbarrow.Answer) {
+func (l *RoutedListener) write(http *fasthttp.RequestCtx, id lagoonbarrow.RequestID, answer *lagoonbarrow.Answer) {
 	http.Response.Header.SetNoDefaultContentType(true)
 	if answer.Outcome != lagoonbarrow.OutcomeDone {
 		l.refuse(http, routedStatus(answer), answer.RetryAfter)
 		return
 	}
 	http.SetStatusCode(answer.Status)
+	http.Response.Header.Set(l.config.Headers.RequestID, string(id))
 	for _, field := range answer.Header {
 		http.Response.Header.Add(field.Name, field.Value)
 	}
--- a/internal/request/forward/forwarder.go
+++ b/internal/request/forward/forwarder.go
@@ -6,6 +6,8 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -53,6 +55,9 @@
 // Forwarder sends requests.
 type Forwarder struct {
 	config Config
+	// calls numbers the calls. A number is enough to tell the answers on a connection
+	// apart, and shorter than the request's id.
+	calls atomic.Uint64
 }
 
 // New returns a forwarder.
@@ -159,6 +164,9 @@
 	return answer.Status >= serverFailure
 }
 
+// callIDBase is the base of the numbers in call ids.
+const callIDBase = 36
+
 // serverFailure is the first status of failures of the server.
 const serverFailure = 500
 
@@ -219,7 +227,7 @@
 
 func (f *Forwarder) call(request *Request, choice placement.Choice, last bool) *lagoonbarrow.Call {
 	return &lagoonbarrow.Call{
-		ID:            lagoonbarrow.CallID(request.ID),
+		ID:            lagoonbarrow.CallID(strconv.FormatUint(f.calls.Add(1), callIDBase)),
 		Request:       request.ID,
 		Priority:      request.Priority,
 		Nested:        request.Nested,
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -27,6 +27,8 @@
 // Stamp is a hybrid logical clock reading: wall time, and a counter that orders
 // events within one wall time.
 type Stamp struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
 	Wall    int64  `json:"wall-ns" msgpack:"wall-ns"`
 	Counter uint32 `json:"counter" msgpack:"counter"`
 }
