Weigh another zone against the fastest instance's latency

The cost of another zone is 1.5 times the latency of the fastest instance compared; against the mean of all, an instance five times slower than the others was kept to (TestLeavesAZoneThatServesBadly).

--- a/internal/process/placement/chooser.go
+++ b/internal/process/placement/chooser.go
@@ -13,13 +13,13 @@
 )
 
 const (
-	// zoneCost is what another availability zone costs, in units of the usual
-	// latency: bytes between zones are paid for.
-	zoneCost = 1.0
+	// zoneCost is what another availability zone costs, in units of the latency of the
+	// fastest instance compared: bytes between zones are paid for.
+	zoneCost = 1.5
 	// busyFrom is the utilisation from which an instance counts as slower.
 	busyFrom = 0.6
 	// busyCost is the added cost at a utilisation of 1 above busyFrom. It exceeds
-	// zoneCost when nine tenths of the slots are in use.
+	// zoneCost when the slots are all in use.
 	busyCost = 3.5
 	// sampleNear and sampleFar bound the instances that are compared. Comparing all
 	// of a large service would send many callers to the same one at once.
@@ -81,10 +81,11 @@
 	if len(candidates) == 0 {
 		return Choice{}, lagoonbarrow.ErrNoInstance
 	}
+	fastest := c.fastest(candidates, now)
 	best := candidates[0]
-	bestCost := c.cost(best, now)
+	bestCost := c.cost(best, fastest, now)
 	for _, other := range candidates[1:] {
-		if cost := c.cost(other, now); cost < bestCost {
+		if cost := c.cost(other, fastest, now); cost < bestCost {
 			best = other
 			bestCost = cost
 		}
@@ -131,10 +132,20 @@
 	return instances[:min(most, len(instances))]
 }
 
-// cost estimates what a request to the instance costs, in units of the usual latency.
-func (c *Chooser) cost(instance *lagoonbarrow.Instance, now time.Time) float64 {
+// fastest returns the slowness of the fastest candidate.
+func (c *Chooser) fastest(candidates []*lagoonbarrow.Instance, now time.Time) float64 {
+	fastest := silentRatio
+	for _, candidate := range candidates {
+		fastest = min(fastest, c.entry(candidate.ID).slowness(now))
+	}
+	return fastest
+}
+
+// cost estimates what a request to the instance costs, in units of the latency of
+// the fastest one.
+func (c *Chooser) cost(instance *lagoonbarrow.Instance, fastest float64, now time.Time) float64 {
 	stats := c.entry(instance.ID)
-	cost := stats.slowness(now)
+	cost := stats.slowness(now) / fastest
 	busy := stats.utilisation(instance, now) - busyFrom
 	if busy > 0 {
 		cost *= 1 + busyCost*busy
