End calls to nodes that are cut off after 800 ms

Cause: a call to a node that lost power or is cut off hung until its route's timeout, and further calls went the same way. Connections whose bytes aren't acknowledged for 800 ms are closed (TCP_USER_TIMEOUT), and an instance is avoided after a lost connection. Ruled out: short keep-alive probes, which cost bytes on every idle connection between zones.

--- a/internal/connection/peer/config.go
+++ b/internal/connection/peer/config.go
@@ -104,6 +104,9 @@
 	MaxBodyBytes int
 	// DialTimeout bounds opening a TCP connection; 1 s by default.
 	DialTimeout time.Duration
+	// UnacknowledgedTimeout closes connections whose bytes the peer's host doesn't
+	// acknowledge for so long; the system's own limit by default.
+	UnacknowledgedTimeout time.Duration
 	// HandshakeTimeout bounds the handshake; 1 s by default.
 	HandshakeTimeout time.Duration
 	// CallTimeout bounds a call without a deadline in its context or a remaining
--- a/internal/connection/peer/dial.go
+++ b/internal/connection/peer/dial.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/connection/peer/socket"
 	"lagoonbarrow/pkg/event"
 )
 
@@ -63,6 +64,14 @@
 			cause: err,
 		}
 	}
+	if d.config.UnacknowledgedTimeout > 0 {
+		if err := socket.LimitUnacknowledged(raw, d.config.UnacknowledgedTimeout); err != nil {
+			_ = raw.Close()
+			return nil, &unreachableError{
+				cause: err,
+			}
+		}
+	}
 	c := newConnection(raw, d.config.FrameBytes)
 	if err := d.greet(ctx, c, want, use); err != nil {
 		c.close()
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -55,6 +55,14 @@
 	// serverDialTimeout bounds opening a connection to the backend server, which is on
 	// the same machine. A server that lost power doesn't answer at all.
 	serverDialTimeout = 200 * time.Millisecond
+	// peerDialTimeout bounds opening a connection to another node, which is a few
+	// milliseconds away, and peerHandshakeTimeout the handshake with one that is busy.
+	peerDialTimeout      = 300 * time.Millisecond
+	peerHandshakeTimeout = 500 * time.Millisecond
+	// peerSilenceTimeout ends calls to a node that lost power or is cut off, early
+	// enough for the client to repeat them within its latency objective. A packet that
+	// is lost twice is sent a third time before.
+	peerSilenceTimeout = 800 * time.Millisecond
 	// bufferedPart is the part of the memory that bodies between nodes may take.
 	bufferedPart = 4
 )
@@ -242,13 +250,16 @@
 func (s *Sidecar) buildPeers(key []byte) error {
 	var err error
 	s.transport, err = peer.NewClient(peer.ClientConfig{
-		PeerKey:        key,
-		Self:           s.settings.Instance,
-		Advertise:      s.settings.Peer,
-		MaxConnections: s.connections(),
-		MaxBodyBytes:   maxBodyBytes,
-		Recorder:       s.timeline,
-		Scope:          s.metrics.Scope().SubScope("peer"),
+		PeerKey:               key,
+		Self:                  s.settings.Instance,
+		Advertise:             s.settings.Peer,
+		DialTimeout:           peerDialTimeout,
+		HandshakeTimeout:      peerHandshakeTimeout,
+		UnacknowledgedTimeout: peerSilenceTimeout,
+		MaxConnections:        s.connections(),
+		MaxBodyBytes:          maxBodyBytes,
+		Recorder:              s.timeline,
+		Scope:                 s.metrics.Scope().SubScope("peer"),
 	})
 	if err != nil {
 		return err
--- a/internal/request/forward/forwarder.go
+++ b/internal/request/forward/forwarder.go
@@ -247,11 +247,12 @@
 // transportAnswer tells what a failed exchange between nodes means.
 func (f *Forwarder) transportAnswer(ctx context.Context, to lagoonbarrow.Instance, call *lagoonbarrow.Call, err error) *lagoonbarrow.Answer {
 	answer := lagoonbarrow.Refuse(call.ID, lagoonbarrow.ReasonUnreachable)
-	switch {
-	case !errors.Is(err, lagoonbarrow.ErrNotSent):
+	if !errors.Is(err, lagoonbarrow.ErrNotSent) {
 		answer.Outcome = lagoonbarrow.OutcomeUnknown
 		answer.Offered = true
-	case ctx.Err() == nil && !errors.Is(err, lagoonbarrow.ErrShed):
+	}
+	// A full node says so itself; these errors are of the connection.
+	if ctx.Err() == nil && !errors.Is(err, lagoonbarrow.ErrShed) {
 		f.config.Chooser.Unreachable(to.ID)
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
--- a/internal/request/forward/forwarder_test.go
+++ b/internal/request/forward/forwarder_test.go
@@ -259,3 +259,20 @@
 		t.Fatalf("outcome %s", answer.Outcome)
 	}
 }
+
+// Guards against further requests to an instance whose connection was just lost.
+func TestInstanceOfALostConnectionIsAvoided(t *testing.T) {
+	transport := &fakeTransport{
+		replies: []reply{lostBetweenNodes, served},
+	}
+	forwarder := newForwarder(transport, 0)
+	forwarder.Do(context.Background(), newRequest(true, false))
+	for range 10 {
+		forwarder.Do(context.Background(), newRequest(true, false))
+	}
+	for _, id := range transport.to[1:] {
+		if id == transport.to[0] {
+			t.Fatalf("instance %s is asked again", id)
+		}
+	}
+}
