Count timeouts against an instance, and take no requests after a stop's end

Timeouts now count as failures, and their time as a latency.

It now ends only when nothing is in progress after it refuses.

--- a/internal/process/placement/chooser.go
+++ b/internal/process/placement/chooser.go
@@ -208,7 +208,7 @@
 	defer c.mu.Unlock()
 	now := c.config.Now()
 	f.entry.end(now, observed)
-	if observed.Latency <= 0 || observed.Failed {
+	if observed.Latency <= 0 {
 		return
 	}
 	expected, known := c.routes[f.route]
@@ -216,7 +216,16 @@
 		expected = &usual{}
 		c.routes[f.route] = expected
 	}
-	f.entry.addLatency(now, expected.add(observed.Latency.Seconds()))
+	seconds := observed.Latency.Seconds()
+	if !observed.Failed {
+		f.entry.addLatency(now, expected.add(seconds))
+		return
+	}
+	// A failure after a long time tells that the instance is slow; a fast one doesn't
+	// tell that it is fast.
+	if ratio := expected.ratio(seconds); ratio > 1 {
+		f.entry.addLatency(now, ratio)
+	}
 }
 
 // Unreachable notes that no connection to the instance could be opened.
--- a/internal/process/placement/chooser_test.go
+++ b/internal/process/placement/chooser_test.go
@@ -100,6 +100,17 @@
 				})
 			}
 		}},
+		{"timing out", func(b *bench) {
+			for range 10 {
+				b.answer(1, lagoonbarrow.Observation{
+					Latency: 100 * time.Millisecond,
+				})
+				b.answer(0, lagoonbarrow.Observation{
+					Latency: 300 * time.Millisecond,
+					Failed:  true,
+				})
+			}
+		}},
 		{"failing", func(b *bench) {
 			for range 10 {
 				b.answer(0, lagoonbarrow.Observation{
--- a/internal/process/placement/entry.go
+++ b/internal/process/placement/entry.go
@@ -44,13 +44,24 @@
 	if u.samples == 0 {
 		u.seconds = seconds
 	}
-	ratio := seconds / max(u.seconds, 1e-6)
+	ratio := u.ratio(seconds)
 	u.samples++
 	weight := max(usualWeight, 1/float64(u.samples))
 	u.seconds += weight * (min(seconds, ratioBound*u.seconds) - u.seconds)
 	return ratio
 }
 
+// ratio returns a latency's ratio to the average, 1 before the first.
+func (u *usual) ratio(seconds float64) float64 {
+	if u.samples == 0 && u.seconds == 0 {
+		return 1
+	}
+	return seconds / max(u.seconds, leastSeconds)
+}
+
+// leastSeconds keeps ratios finite.
+const leastSeconds = 1e-6
+
 // entry holds the statistics of one instance. Chooser.mu guards it.
 type entry struct {
 	inFlight int
--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -82,8 +82,7 @@
 	s.awaitClients(ctx, began)
 	s.leave()
 	drained := s.drainPeers(ctx)
-	s.awaitQuiet(ctx, began)
-	<-drained
+	s.awaitQuiet(ctx, began, drained)
 	s.close()
 	s.timeline.Record(event.NodeStopped, event.Fields{})
 }
@@ -131,20 +130,39 @@
 	return time.Duration(part * float64(s.settings.StopTimeout))
 }
 
-// awaitQuiet waits until all requests and calls have ended.
-func (s *Sidecar) awaitQuiet(ctx context.Context, began time.Time) {
+// awaitQuiet waits until other nodes have closed their connections and all requests
+// and calls have ended. Then no more requests are taken.
+func (s *Sidecar) awaitQuiet(ctx context.Context, began time.Time, drained <-chan struct{}) {
 	for ctx.Err() == nil {
 		if time.Since(began) > s.part(acceptPart) {
 			s.requests.Close()
 		}
-		if s.requests.InFlight() == 0 && s.handler.InFlight() == 0 {
-			return
+		if isClosed(drained) && s.idle() {
+			// A request may have come just now; after the close none is begun.
+			s.requests.Close()
+			if s.idle() {
+				return
+			}
 		}
 		backoff.Pause(ctx, stopPoll)
 	}
 	s.timeline.Record(event.StopTimeout, event.Fields{})
 }
 
+// idle reports whether nothing is in progress.
+func (s *Sidecar) idle() bool {
+	return s.requests.InFlight() == 0 && s.handler.InFlight() == 0
+}
+
+func isClosed(done <-chan struct{}) bool {
+	select {
+	case <-done:
+		return true
+	default:
+		return false
+	}
+}
+
 // close closes all parts. It may be called more than once.
 func (s *Sidecar) close() {
 	s.closed.Do(s.closeParts)
--- a/internal/process/sidecar/sidecar_test.go
+++ b/internal/process/sidecar/sidecar_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"net"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"lagoonbarrow/platform/standin"
 )
 
@@ -157,3 +160,35 @@
 		return len(f.members[0].sidecar.directory.Instances("beta")) == 1 && len(f.members[1].sidecar.directory.Instances("beta")) == 1
 	})
 }
+// Guards against requests that are cut off since they come while a stopping node has
+// nothing in progress and still waits for other nodes to close their connections.
+func TestRequestsLateInAStopAreAnswered(t *testing.T) {
+	f := newFleet(t, 1500*time.Millisecond, nil)
+	stopping := f.members[0]
+	left := make(chan int)
+	go func() {
+		stopping.sidecar.Stop()
+		// The process ends here, and what is in progress with it.
+		left <- stopping.sidecar.requests.InFlight()
+	}()
+	time.Sleep(noticeTime - 100*time.Millisecond)
+	// A connection without a handshake delays the end of the peer server.
+	held, err := net.Dial("tcp", string(stopping.sidecar.settings.Peer))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer held.Close()
+	time.Sleep(300 * time.Millisecond)
+	var refused *net.OpError
+	sent := make(chan result)
+	go func() { sent <- stopping.send("POST", "/file/x", "late") }()
+	if count := <-left; count != 0 {
+		t.Fatalf("%d requests were in progress at the end of the stop", count)
+	}
+	got := <-sent
+	// A node that no longer listens has read nothing.
+	unread := errors.As(got.err, &refused) && refused.Op == "dial"
+	if !unread && (got.err != nil || got.status != 200 && got.status != 503) {
+		t.Fatalf("result %+v", got)
+	}
+}
--- a/internal/request/forward/forwarder.go
+++ b/internal/request/forward/forwarder.go
@@ -192,9 +192,7 @@
 	started := time.Now()
 	answer, err := f.exchange(ctx, choice.Instance, call)
 	if err != nil {
-		flight.Ended(lagoonbarrow.Observation{
-			Failed: ctx.Err() == nil,
-		})
+		flight.Ended(lost(ctx, time.Since(started)))
 		return f.transportAnswer(ctx, choice.Instance, call, err)
 	}
 	f.config.Heard(answer.Configuration)
@@ -210,6 +208,18 @@
 	return answer
 }
 
+// lost is what an exchange without an answer shows. A client that leaves says
+// nothing of the instance, but one whose time has passed does.
+func lost(ctx context.Context, took time.Duration) lagoonbarrow.Observation {
+	observed := lagoonbarrow.Observation{
+		Failed: !errors.Is(ctx.Err(), context.Canceled),
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		observed.Latency = took
+	}
+	return observed
+}
+
 // failedAtServer reports whether the backend server gave no useful answer.
 func failedAtServer(answer *lagoonbarrow.Answer) bool {
 	if answer.Outcome == lagoonbarrow.OutcomeDone {
--- a/internal/request/forward/forwarder_test.go
+++ b/internal/request/forward/forwarder_test.go
@@ -276,3 +276,45 @@
 		}
 	}
 }
+
+// hangingTransport never answers for one instance.
+type hangingTransport struct {
+	fakeTransport
+	hanging lagoonbarrow.InstanceID
+}
+
+func (h *hangingTransport) Call(ctx context.Context, to lagoonbarrow.Instance, call *lagoonbarrow.Call) (*lagoonbarrow.Answer, error) {
+	answer, err := h.fakeTransport.Call(ctx, to, call)
+	if to.ID != h.hanging {
+		return answer, err
+	}
+	<-ctx.Done()
+	return nil, lagoonbarrow.ErrAnswerLost
+}
+
+// Guards against a slow server that goes on getting requests because those that it
+// doesn't answer in time count for nothing.
+func TestTimedOutRequestsCountAgainstTheInstance(t *testing.T) {
+	transport := &hangingTransport{
+		fakeTransport: fakeTransport{
+			replies: []reply{served},
+		},
+		hanging: "a",
+	}
+	forwarder := newForwarder(transport, 0)
+	const warm = 60
+	for range 2 * warm {
+		request := newRequest(true, false)
+		request.Deadline = time.Now().Add(10 * time.Millisecond)
+		forwarder.Do(context.Background(), request)
+	}
+	hung := 0
+	for _, id := range transport.to[warm:] {
+		if id == transport.hanging {
+			hung++
+		}
+	}
+	if hung > warm/10 {
+		t.Fatalf("%d of the last %d requests went to the instance that doesn't answer", hung, warm)
+	}
+}
