--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo demo-up test lint bench fmt fuzz soak clean
+.PHONY: build demo demo-up test lint bench fmt fuzz soak soak-sidecar clean
 
 GO      ?= go
 SEEDS   ?= 50
@@ -31,5 +31,8 @@
 soak: build
 	LAGOONBARROW_SEEDS=$(SEEDS) $(GO) test -timeout 60m -count=1 -run 'History|Property' ./...
 
+soak-sidecar:
+	LAGOONBARROW_SEEDS=$(SEEDS) $(GO) test -timeout 60m -count=1 ./soak
+
 clean:
 	rm -rf build
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -222,6 +222,15 @@
 	r.end()
 }
 
+// eachVariant measures a chain of four for each variant.
+func (r *runner) eachVariant(measure func(variant string, f *fleet.Fleet)) {
+	for _, variant := range variants {
+		r.measureFleet(variant.plain, chainOf(4), func(f *fleet.Fleet) {
+			measure(variant.name, f)
+		})
+	}
+}
+
 // series writes a load's samples as CSV.
 func (r *runner) series(variant string, samples []sample) {
 	var text strings.Builder
--- a/internal/bench/policy.go
+++ b/internal/bench/policy.go
@@ -104,27 +104,25 @@
 // that retry hard.
 func goodputAtOverload(r *runner) []Row {
 	results := map[string]float64{}
-	for _, variant := range variants {
-		r.measureFleet(variant.plain, chainOf(4), func(f *fleet.Fleet) {
-			duration := warmUp + 10*time.Second
-			samples := load{
-				phases: []phase{
-					{
-						duration:  duration,
-						perSecond: 2 * registryCapacity,
-					},
+	r.eachVariant(func(variant string, f *fleet.Fleet) {
+		duration := warmUp + 10*time.Second
+		samples := load{
+			phases: []phase{
+				{
+					duration:  duration,
+					perSecond: 2 * registryCapacity,
 				},
-				kinds:   lookups,
-				resends: 3,
-				late:    time.Second,
-				seed:    r.config.Seed,
-			}.run(f)
-			r.series(variant.name, samples)
-			r.plotGoodput(variant.name, samples, duration)
-			results[variant.name] = goodput(samples, warmUp, duration) / registryCapacity
-			r.Logf("%s: the registry completed %d runs in %s", variant.name, completed(f.Of("hop4")), duration)
-		})
-	}
+			},
+			kinds:   lookups,
+			resends: 3,
+			late:    time.Second,
+			seed:    r.config.Seed,
+		}.run(f)
+		r.series(variant, samples)
+		r.plotGoodput(variant, samples, duration)
+		results[variant] = goodput(samples, warmUp, duration) / registryCapacity
+		r.Logf("%s: the registry completed %d runs in %s", variant, completed(f.Of("hop4")), duration)
+	})
 	return []Row{
 		{
 			Measure:  "goodput of whole requests at 2x capacity, chain of 4",
@@ -148,33 +146,31 @@
 // recovery measures the time from the end of a surge until goodput is back.
 func recovery(r *runner) []Row {
 	results := map[string]time.Duration{}
-	for _, variant := range variants {
-		r.measureFleet(variant.plain, chainOf(4), func(f *fleet.Fleet) {
-			samples := load{
-				phases: []phase{
-					{
-						duration:  beforeSurge,
-						perSecond: 0.6 * registryCapacity,
-					},
-					{
-						duration:  surge,
-						perSecond: 3 * registryCapacity,
-					},
-					{
-						duration:  afterSurge,
-						perSecond: 0.6 * registryCapacity,
-					},
+	r.eachVariant(func(variant string, f *fleet.Fleet) {
+		samples := load{
+			phases: []phase{
+				{
+					duration:  beforeSurge,
+					perSecond: 0.6 * registryCapacity,
 				},
-				kinds:   lookups,
-				resends: 3,
-				late:    time.Second,
-				seed:    r.config.Seed,
-			}.run(f)
-			r.series(variant.name, samples)
-			r.plotGoodput(variant.name, samples, beforeSurge+surge+afterSurge)
-			results[variant.name] = recoveryTime(samples)
-		})
-	}
+				{
+					duration:  surge,
+					perSecond: 3 * registryCapacity,
+				},
+				{
+					duration:  afterSurge,
+					perSecond: 0.6 * registryCapacity,
+				},
+			},
+			kinds:   lookups,
+			resends: 3,
+			late:    time.Second,
+			seed:    r.config.Seed,
+		}.run(f)
+		r.series(variant, samples)
+		r.plotGoodput(variant, samples, beforeSurge+surge+afterSurge)
+		results[variant] = recoveryTime(samples)
+	})
 	return []Row{
 		{
 			Measure:  "time to recover after a 10 s surge to 3x capacity",
@@ -300,33 +296,31 @@
 	results := map[string]float64{}
 	late := map[string]time.Duration{}
 	calm := warmUp + 2*time.Second
-	for _, variant := range variants {
-		r.measureFleet(variant.plain, chainOf(4), func(f *fleet.Fleet) {
-			samples := load{
-				phases: []phase{
-					{
-						duration:  calm,
-						perSecond: 0.2 * registryCapacity,
-					},
-					{
-						duration:  time.Second,
-						perSecond: 0.5 * registryCapacity,
-					},
-					{
-						duration:  5 * time.Second,
-						perSecond: 0.9 * registryCapacity,
-					},
+	r.eachVariant(func(variant string, f *fleet.Fleet) {
+		samples := load{
+			phases: []phase{
+				{
+					duration:  calm,
+					perSecond: 0.2 * registryCapacity,
 				},
-				kinds: mixed,
-				late:  time.Second,
-				seed:  r.config.Seed,
-			}.run(f)
-			r.series(variant.name, samples)
-			swing := of(samples, "", calm, calm+6*time.Second)
-			results[variant.name] = success(swing)
-			late[variant.name] = percentile(swing, 99)
-		})
-	}
+				{
+					duration:  time.Second,
+					perSecond: 0.5 * registryCapacity,
+				},
+				{
+					duration:  5 * time.Second,
+					perSecond: 0.9 * registryCapacity,
+				},
+			},
+			kinds: mixed,
+			late:  time.Second,
+			seed:  r.config.Seed,
+		}.run(f)
+		r.series(variant, samples)
+		swing := of(samples, "", calm, calm+6*time.Second)
+		results[variant] = success(swing)
+		late[variant] = percentile(swing, 99)
+	})
 	return []Row{
 		{
 			Measure:  "requests served in time at the crest of a swing from 20 % to 90 % of capacity",
@@ -383,34 +377,32 @@
 func filings(r *runner) []Row {
 	counts := map[string]int{}
 	browsed := map[string]int{}
-	for _, variant := range variants {
-		r.measureFleet(variant.plain, chainOf(4), func(f *fleet.Fleet) {
-			duration := warmUp + 8*time.Second
-			samples := load{
-				phases: []phase{
-					{
-						duration:  duration,
-						perSecond: 2 * registryCapacity,
-					},
+	r.eachVariant(func(variant string, f *fleet.Fleet) {
+		duration := warmUp + 8*time.Second
+		samples := load{
+			phases: []phase{
+				{
+					duration:  duration,
+					perSecond: 2 * registryCapacity,
 				},
-				kinds: mixed,
-				late:  3 * time.Second,
-				seed:  r.config.Seed,
-			}.run(f)
-			r.series(variant.name, samples)
-			for _, current := range of(samples, "filing", 0, duration) {
-				if !current.ok {
-					counts[variant.name]++
-				}
+			},
+			kinds: mixed,
+			late:  3 * time.Second,
+			seed:  r.config.Seed,
+		}.run(f)
+		r.series(variant, samples)
+		for _, current := range of(samples, "filing", 0, duration) {
+			if !current.ok {
+				counts[variant]++
 			}
-			for _, current := range of(samples, "browse", 0, duration) {
-				if current.ok {
-					browsed[variant.name]++
-				}
+		}
+		for _, current := range of(samples, "browse", 0, duration) {
+			if current.ok {
+				browsed[variant]++
 			}
-			r.Logf("%s: %d filings, %d failed, %d browsing requests served", variant.name, len(of(samples, "filing", 0, duration)), counts[variant.name], browsed[variant.name])
-		})
-	}
+		}
+		r.Logf("%s: %d filings, %d failed, %d browsing requests served", variant, len(of(samples, "filing", 0, duration)), counts[variant], browsed[variant])
+	})
 	return []Row{
 		{
 			Measure:  "filings refused or late at 2x overload while browsing was served",
--- a/internal/process/sidecar/sidecar_test.go
+++ b/internal/process/sidecar/sidecar_test.go
@@ -160,6 +160,7 @@
 		return len(f.members[0].sidecar.directory.Instances("beta")) == 1 && len(f.members[1].sidecar.directory.Instances("beta")) == 1
 	})
 }
+
 // Guards against requests that are cut off since they come while a stopping node has
 // nothing in progress and still waits for other nodes to close their connections.
 func TestRequestsLateInAStopAreAnswered(t *testing.T) {
