--- a/internal/process/registration/server.go
+++ b/internal/process/registration/server.go
@@ -22,10 +22,6 @@
 	ID      lagoonbarrow.ServerID
 	Service lagoonbarrow.ServiceName
 	Slots   int
-	// Started orders the starts of the server.
-	Started time.Time
-	// ColdUntil is when the server is no longer slow after its start.
-	ColdUntil time.Time
 }
 
 // Config configures a Registration.
@@ -85,11 +81,9 @@
 
 func (r *Registration) server() Server {
 	return Server{
-		ID:        r.last.ID,
-		Service:   r.last.Service,
-		Slots:     r.last.Slots,
-		Started:   r.last.Started,
-		ColdUntil: r.heardAt.Add(r.last.ColdRemaining),
+		ID:      r.last.ID,
+		Service: r.last.Service,
+		Slots:   r.last.Slots,
 	}
 }
 
--- a/internal/version/routing/registry.go
+++ b/internal/version/routing/registry.go
@@ -46,15 +46,6 @@
 	return r.current.Load() != nil
 }
 
-// Limits returns the limits in force.
-func (r *Registry) Limits() lagoonbarrow.RequestLimits {
-	present := r.current.Load()
-	if present == nil {
-		return lagoonbarrow.RequestLimits{}
-	}
-	return present.configuration.Limits
-}
-
 // Find returns the route of a request. It returns ErrUnavailable while no
 // configuration is in force, and ErrNotFound when no route matches.
 func (r *Registry) Find(host, path string) (*Route, error) {
--- a/sidecar.go
+++ b/sidecar.go
@@ -21,8 +21,7 @@
 	Peer    Address
 	Metrics Address
 	// Store is the address of the platform's store.
-	Store         Address
-	StoreRowBytes int
+	Store Address
 	// HeartbeatInterval is the usual time between two heartbeats.
 	HeartbeatInterval time.Duration
 	// StopTimeout is the time between the request to stop and the kill.
@@ -35,8 +34,6 @@
 	// MemoryBytes and MaxOpenFiles are the limits of the process.
 	MemoryBytes  int64
 	MaxOpenFiles int
-	// ConfigurationMax is the time within which a change has to be in force.
-	ConfigurationMax time.Duration
 }
 
 // ConfigurationSource tells where the operator keeps the configuration and how
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -172,7 +172,6 @@
 app-addr=IP:8301
 service=SERVICE
 platform.address=STORE
-platform.row-bytes=65536
 `
 
 // kill sends a signal to the node's process, which this test has started.
