--- a/internal/process/quota/bound_test.go
+++ b/internal/process/quota/bound_test.go
@@ -387,3 +387,19 @@
 		t.Errorf("%d messages in the 4 s after the demand ended", sent)
 	}
 }
+
+// Guards against an owner that gives more than the rate over its life. The schedule
+// was found by TestPropertySharesStayWithinBound (seed 1796376399616228002).
+func TestOwnerGivesNoMoreThanTheRate(t *testing.T) {
+	run := newSchedule()
+	for _, code := range []uint32{
+		118301634, 531211797, 208358616, 1466201387, 2989846288, 1375386144,
+		1693749504, 958278480, 2511860112, 1576422578, 2568185024, 1800516560,
+		969104512, 3670615840, 148763456, 1225371056, 2400759221, 76704584,
+	} {
+		run.step(code)
+		if err := run.check(); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
