--- a/internal/process/logging/writer.go
+++ b/internal/process/logging/writer.go
@@ -16,6 +16,7 @@
 type Writer struct {
 	out     io.Writer
 	lines   chan []byte
+	stop    chan struct{}
 	dropped atomic.Int64
 	ended   sync.WaitGroup
 }
@@ -25,6 +26,7 @@
 	writer := &Writer{
 		out:   out,
 		lines: make(chan []byte, queuedLines),
+		stop:  make(chan struct{}),
 	}
 	writer.ended.Add(1)
 	go writer.run()
@@ -44,17 +46,40 @@
 
 func (w *Writer) run() {
 	defer w.ended.Done()
-	for line := range w.lines {
-		// Nothing is left to report a failure of the log to.
-		_, _ = w.out.Write(line)
-		if dropped := w.dropped.Swap(0); dropped > 0 {
-			fmt.Fprintf(w.out, "{\"@level\":\"warn\",\"@message\":\"log lines dropped\",\"count\":%d}\n", dropped)
+	for {
+		select {
+		case line := <-w.lines:
+			w.put(line)
+		case <-w.stop:
+			w.drain()
+			return
 		}
 	}
 }
 
-// Close writes the queued lines. Nothing may be written after it.
+// drain writes what is queued.
+func (w *Writer) drain() {
+	for {
+		select {
+		case line := <-w.lines:
+			w.put(line)
+		default:
+			return
+		}
+	}
+}
+
+func (w *Writer) put(line []byte) {
+	// Nothing is left to report a failure of the log to.
+	_, _ = w.out.Write(line)
+	if dropped := w.dropped.Swap(0); dropped > 0 {
+		fmt.Fprintf(w.out, "{\"@level\":\"warn\",\"@message\":\"log lines dropped\",\"count\":%d}\n", dropped)
+	}
+}
+
+// Close writes the queued lines. Parts that end later may still write; their lines
+// are lost.
 func (w *Writer) Close() {
-	close(w.lines)
+	close(w.stop)
 	w.ended.Wait()
 }
--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -19,9 +19,9 @@
 	quietTime = 500 * time.Millisecond
 	// acceptPart and endPart are the parts of the stop's time limit after which no
 	// request is accepted and the process ends. What is accepted last still has two
-	// seconds.
-	acceptPart = 0.55
-	endPart    = 0.9
+	// seconds, and closing the parts has the rest.
+	acceptPart = 0.5
+	endPart    = 0.85
 	// stopPoll is the time between two looks at the requests in progress.
 	stopPoll = 20 * time.Millisecond
 	// closeTimeout bounds closing the listeners once nothing is in progress.
