--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -191,10 +191,12 @@
 // beat sends the server's heartbeats until the test ends.
 func (n *node) beat() {
 	for {
-		err := n.server.Beat(lagoonbarrow.Address(n.ip + ":8306"))
+		// Asked before the heartbeat, whose state is set together with it: only a heartbeat
+		// that says draining acknowledges the leaving.
 		n.mu.Lock()
 		draining := !n.draining.IsZero()
 		n.mu.Unlock()
+		err := n.server.Beat(lagoonbarrow.Address(n.ip + ":8306"))
 		if err == nil && draining {
 			n.noteDrained()
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -35,7 +35,7 @@
 	},
 	{
 		seed:  9,
-		cause: "as seed 3",
+		cause: "as seed 3; later the run took the acknowledgement of a heartbeat that still said ready for one of the leaving",
 	},
 }
 
