Share the store's backoff and the filling of pools, and drop unused state

Found by reading the whole change again; behaviour stays as it is. The bounds of the wait for the platform's store stood in three packages; they are backoff.ForStore. A customer's pool was filled in two places by the same arithmetic; refill calls fill. The follower and the row keeper counted goroutines that nothing waits for. Build steps that can't fail return no error. An idle pool is trimmed in one loop, and the size of an inline body is tested in one place.

--- a/internal/connection/peer/wire.go
+++ b/internal/connection/peer/wire.go
@@ -128,7 +128,7 @@
 
 // inline returns the body if it travels in the head frame.
 func inline(body []byte) []byte {
-	if len(body) > inlineBytes {
+	if !singleFrame(body) {
 		return nil
 	}
 	return body
--- a/internal/process/backoff/backoff.go
+++ b/internal/process/backoff/backoff.go
@@ -28,6 +28,21 @@
 	}
 }
 
+// The bounds for calls to the platform's store. What depends on it has to be back
+// within two seconds of its return.
+const (
+	storeFirst = 100 * time.Millisecond
+	storeLast  = time.Second
+)
+
+// ForStore returns a backoff for calls to the platform's store.
+func ForStore() *Backoff {
+	return New(Config{
+		First: storeFirst,
+		Last:  storeLast,
+	})
+}
+
 // Wait waits until the next attempt is due or ctx ends.
 func (b *Backoff) Wait(ctx context.Context) {
 	Pause(ctx, b.next/2+rand.N(b.next/2))
--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -14,12 +13,10 @@
 )
 
 const (
-	// firstPause and lastPause bound the wait after a failed call. Entries have to be
-	// back within two seconds of the store's return.
-	firstPause = 100 * time.Millisecond
-	lastPause  = time.Second
 	// refreshDelay is the time after which the feed is not waited for.
 	refreshDelay = 250 * time.Millisecond
+	// refreshPause is the wait after a failed refresh.
+	refreshPause = time.Second
 )
 
 // Config configures a Follower.
@@ -45,7 +42,6 @@
 	// refresh asks for a new reading of all rows.
 	refresh chan struct{}
 	cancel  context.CancelFunc
-	ended   sync.WaitGroup
 	// failing is set between a failed and the next successful call.
 	failing bool
 }
@@ -62,15 +58,8 @@
 func (f *Follower) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
-	f.ended.Add(2)
-	go func() {
-		defer f.ended.Done()
-		f.run(ctx)
-	}()
-	go func() {
-		defer f.ended.Done()
-		f.refreshes(ctx)
-	}()
+	go f.run(ctx)
+	go f.refreshes(ctx)
 }
 
 // Stop ends following. A call under way ends with its time limit.
@@ -102,7 +91,7 @@
 		rows, _, err := f.config.Feed.Rows(ctx, f.config.Table)
 		if err != nil {
 			f.config.Logger.Warn("refresh of a table failed", "table", f.config.Table, "error", err)
-			backoff.Pause(ctx, lastPause)
+			backoff.Pause(ctx, refreshPause)
 			continue
 		}
 		f.config.Replace(rows)
@@ -112,10 +101,7 @@
 func (f *Follower) run(ctx context.Context) {
 	version := lagoonbarrow.RowVersion(0)
 	known := false
-	wait := backoff.New(backoff.Config{
-		First: firstPause,
-		Last:  lastPause,
-	})
+	wait := backoff.ForStore()
 	for ctx.Err() == nil {
 		next, err := f.step(ctx, version, known)
 		f.note(err)
--- a/internal/process/quota/pool.go
+++ b/internal/process/quota/pool.go
@@ -26,19 +26,15 @@
 // that is new holds no more than the process could have filled since it
 // started, so that restarts don't give the burst anew.
 func (a *account) refill(now, started time.Time, terms lagoonbarrow.Contract) {
-	from := a.pool.last
-	free := max(0, min(a.pool.rate, terms.WorkUnitsPerSecond)-a.outstanding)
-	if from.IsZero() {
-		from = started
-		free = terms.WorkUnitsPerSecond
+	rate := min(a.pool.rate, terms.WorkUnitsPerSecond)
+	if a.pool.last.IsZero() {
+		a.pool.last = started
+		rate = terms.WorkUnitsPerSecond
 	}
-	a.pool.rate = terms.WorkUnitsPerSecond
+	a.pool.rate = rate
 	a.pool.burst = terms.BurstWorkUnits
-	a.pool.last = now
-	if elapsed := now.Sub(from).Seconds(); elapsed > 0 {
-		a.pool.units += free * lagoonbarrow.WorkUnits(elapsed)
-	}
-	a.pool.units = min(a.pool.units, a.pool.burst)
+	a.fill(now)
+	a.pool.rate = terms.WorkUnitsPerSecond
 }
 
 func (p *pool) give(returned lagoonbarrow.WorkUnits) {
@@ -59,8 +55,9 @@
 func (a *account) fill(now time.Time) {
 	free := max(0, a.pool.rate-a.outstanding)
 	if elapsed := now.Sub(a.pool.last).Seconds(); elapsed > 0 {
-		a.pool.units = min(a.pool.units+free*lagoonbarrow.WorkUnits(elapsed), a.pool.burst)
+		a.pool.units += free * lagoonbarrow.WorkUnits(elapsed)
 	}
+	a.pool.units = min(a.pool.units, a.pool.burst)
 	a.pool.last = now
 }
 
--- a/internal/process/registration/row.go
+++ b/internal/process/registration/row.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"sync"
-	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
@@ -13,13 +12,6 @@
 	"lagoonbarrow/internal/process/backoff"
 )
 
-const (
-	// firstPause and lastPause bound the wait after a failed write. Rows have to be
-	// back within two seconds of the store's return.
-	firstPause = 100 * time.Millisecond
-	lastPause  = time.Second
-)
-
 // RowConfig configures a RowKeeper.
 type RowConfig struct {
 	Store  lagoonbarrow.RowStore
@@ -34,7 +26,6 @@
 	config RowConfig
 	wake   chan struct{}
 	cancel context.CancelFunc
-	ended  sync.WaitGroup
 
 	mu     sync.Mutex
 	wanted []byte
@@ -57,11 +48,7 @@
 func (k *RowKeeper) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	k.cancel = cancel
-	k.ended.Add(1)
-	go func() {
-		defer k.ended.Done()
-		k.run(ctx)
-	}()
+	go k.run(ctx)
 }
 
 // Stop ends writing; a write under way ends with its time limit.
@@ -98,10 +85,7 @@
 }
 
 func (k *RowKeeper) run(ctx context.Context) {
-	wait := backoff.New(backoff.Config{
-		First: firstPause,
-		Last:  lastPause,
-	})
+	wait := backoff.ForStore()
 	for ctx.Err() == nil {
 		write, needed := k.next()
 		if !needed {
--- a/internal/process/registration/server.go
+++ b/internal/process/registration/server.go
@@ -3,6 +3,7 @@
 package registration
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -119,7 +120,7 @@
 	if sameStart {
 		return !r.left && heartbeat.Sequence > r.last.Sequence
 	}
-	if heartbeat.ID != r.last.ID && r.hasEnded(heartbeat.ID) {
+	if heartbeat.ID != r.last.ID && slices.Contains(r.ended, heartbeat.ID) {
 		return heartbeat.Started.After(r.last.Started)
 	}
 	if heartbeat.Started.After(r.last.Started) {
@@ -130,15 +131,6 @@
 	return heartbeat.ID != r.last.ID && (r.left || silent)
 }
 
-func (r *Registration) hasEnded(id lagoonbarrow.ServerID) bool {
-	for _, ended := range r.ended {
-		if ended == id {
-			return true
-		}
-	}
-	return false
-}
-
 // Leave notes that the server of this id ends.
 func (r *Registration) Leave(id lagoonbarrow.ServerID) {
 	r.mu.Lock()
--- a/internal/process/sidecar/peerkey.go
+++ b/internal/process/sidecar/peerkey.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/rand"
 	"sync/atomic"
-	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
@@ -21,11 +20,6 @@
 	keyBytes = 32
 )
 
-const (
-	firstKeyPause = 100 * time.Millisecond
-	lastKeyPause  = time.Second
-)
-
 // peerKeys finds or makes the key that nodes authenticate each other with.
 type peerKeys struct {
 	store  lagoonbarrow.RowStore
@@ -39,10 +33,7 @@
 
 // wait returns the key, or the error of ctx.
 func (k *peerKeys) wait(ctx context.Context) ([]byte, error) {
-	wait := backoff.New(backoff.Config{
-		First: firstKeyPause,
-		Last:  lastKeyPause,
-	})
+	wait := backoff.ForStore()
 	for ctx.Err() == nil {
 		key, err := k.load(ctx)
 		if err == nil {
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -119,21 +119,16 @@
 		config:   config,
 		settings: config.Settings,
 	}
-	steps := []func() error{
-		s.buildTelemetry,
-		s.buildState,
-		s.buildServer,
-		s.buildRequests,
-	}
-	for _, step := range steps {
-		if err := step(); err != nil {
-			return nil, err
-		}
+	s.buildTelemetry()
+	s.buildState()
+	if err := s.buildServer(); err != nil {
+		return nil, err
 	}
+	s.buildRequests()
 	return s, nil
 }
 
-func (s *Sidecar) buildTelemetry() error {
+func (s *Sidecar) buildTelemetry() {
 	s.metrics = metrics.New(metrics.Config{
 		Instance: s.settings.Instance,
 		Service:  s.settings.Service,
@@ -147,11 +142,10 @@
 		Events:      timelineEvents,
 		RequestLogs: requestLogs,
 	})
-	return nil
 }
 
 // buildState builds what is known of the call graph and of the server beside this node.
-func (s *Sidecar) buildState() error {
+func (s *Sidecar) buildState() {
 	s.routes = routing.NewRegistry()
 	s.chooser = placement.New(placement.Config{
 		Zone: s.settings.Zone,
@@ -210,7 +204,6 @@
 		Logger:  s.config.Logger.Named("directory"),
 	})
 	s.followers = []*follower.Follower{configuration, instances}
-	return nil
 }
 
 // buildServer builds what other nodes call.
@@ -296,7 +289,7 @@
 	return max(1, (s.settings.MaxOpenFiles-reservedFiles)/4)
 }
 
-func (s *Sidecar) buildRequests() error {
+func (s *Sidecar) buildRequests() {
 	s.forwarder = forward.New(forward.Config{
 		Self:      s.settings.Instance,
 		Directory: s.directory,
@@ -325,7 +318,6 @@
 	s.heartbeats = newControl("heartbeats", s.settings.Heartbeats, s.config.HeartbeatHandler(s.registration))
 	s.ready = newControl("readiness", s.settings.Ready, s.serveReady)
 	s.scrape = newControl("metrics", s.settings.Metrics, s.metrics.Handler())
-	return nil
 }
 
 // maxHeaderBytes bounds a request's headers; the platform's clients stay within 16 KiB.
--- a/internal/process/slots/gate.go
+++ b/internal/process/slots/gate.go
@@ -55,7 +55,7 @@
 type Refusal struct {
 	// RetryAfter is when a slot can be expected.
 	RetryAfter time.Duration
-	// cause is ErrShed, ErrDeadline or ErrStopping.
+	// cause is ErrShed or ErrDeadline.
 	cause error
 }
 
--- a/internal/request/backend/pool.go
+++ b/internal/request/backend/pool.go
@@ -161,12 +161,8 @@
 // list is ordered by idleSince. The caller holds the mutex.
 func (p *pool) trim() {
 	oldest := time.Now().Add(-p.config.IdleTimeout)
-	old := max(0, len(p.idle)-p.config.MaxIdle)
-	for i := range old {
-		p.idle[i].close()
-		p.idle[i] = nil
-	}
-	for old < len(p.idle) && p.idle[old].idleSince.Before(oldest) {
+	old := 0
+	for old < len(p.idle) && (len(p.idle)-old > p.config.MaxIdle || p.idle[old].idleSince.Before(oldest)) {
 		p.idle[old].close()
 		p.idle[old] = nil
 		old++
--- a/internal/request/forward/forwarder.go
+++ b/internal/request/forward/forwarder.go
@@ -223,7 +223,7 @@
 // failedAtServer reports whether the backend server gave no useful answer.
 func failedAtServer(answer *lagoonbarrow.Answer) bool {
 	if answer.Outcome == lagoonbarrow.OutcomeDone {
-		return answer.Status >= serverFailure
+		return retryable(answer)
 	}
 	return answer.Reason != lagoonbarrow.ReasonCancelled
 }
