Take up changed settings while running, and serve calls until a stop refuses them

Cause: changed settings were checked at SIGHUP and taken up at the next start only, and a change without a signal was not noticed. Besides, a heartbeat during a stop announced the node as leaving while it still served the calls of other nodes for up to 3 s.

A node is announced as leaving when it begins to refuse. Weighed: ending the process so that it starts anew; it would cut requests for a change that may be of no effect.

--- a/internal/cli/sidecar.go
+++ b/internal/cli/sidecar.go
@@ -11,6 +11,7 @@
 	"github.com/urfave/cli/v2"
 
 	"lagoonbarrow/internal/process/logging"
+	"lagoonbarrow/internal/process/reload"
 	"lagoonbarrow/internal/process/sidecar"
 	"lagoonbarrow/platform"
 )
@@ -69,6 +70,12 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	ctx, cancel := context.WithCancel(command.Context)
 	defer cancel()
+	watcher := reload.NewWatcher(reload.Config{
+		Path:    path,
+		Changed: func() { reloadSettings(path, process, logger) },
+		Logger:  logger.Named("settings"),
+	})
+	go watcher.Run(ctx)
 	started := make(chan error, 1)
 	go func() {
 		started <- process.Start(ctx)
@@ -82,7 +89,8 @@
 			started = nil
 		case received := <-signals:
 			if received == syscall.SIGHUP {
-				reloadSettings(path, logger)
+				logger.Info("received SIGHUP; looking for changed settings")
+				watcher.Signal()
 				continue
 			}
 			cancel()
@@ -92,13 +100,12 @@
 	}
 }
 
-// reloadSettings checks the changed settings file. What a process may take up
-// while it runs is read anew at its next start.
-func reloadSettings(path string, logger hclog.Logger) {
+// reloadSettings checks the changed settings file and hands it to the process.
+func reloadSettings(path string, process *sidecar.Sidecar, logger hclog.Logger) {
 	settings, err := platform.LoadSettings(path)
 	if err != nil {
 		logger.Error("the changed settings file is not valid; the present settings stay", "error", err)
 		return
 	}
-	logger.Info("the settings file was read again", "service", settings.Service, "store", settings.Store)
+	process.Reload(settings)
 }
--- a/internal/process/registration/server.go
+++ b/internal/process/registration/server.go
@@ -43,6 +43,8 @@
 	config Config
 
 	mu sync.Mutex
+	// interval is the usual time between two heartbeats.
+	interval time.Duration
 	// last is the newest heartbeat; its ID is empty before the first.
 	last    lagoonbarrow.Heartbeat
 	heardAt time.Time
@@ -69,10 +71,18 @@
 		config.Now = time.Now
 	}
 	return &Registration{
-		config: config,
+		config:   config,
+		interval: config.HeartbeatInterval,
 	}
 }
 
+// SetHeartbeatInterval changes the usual time between two heartbeats.
+func (r *Registration) SetHeartbeatInterval(interval time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.interval = interval
+}
+
 // Current returns the server that may receive new work.
 func (r *Registration) Current() (Server, bool) {
 	r.mu.Lock()
@@ -127,7 +137,7 @@
 		return true
 	}
 	// The clock may have been set back between two starts.
-	silent := r.config.Now().Sub(r.heardAt) > heartbeatsMissed*r.config.HeartbeatInterval
+	silent := r.config.Now().Sub(r.heardAt) > heartbeatsMissed*r.interval
 	return heartbeat.ID != r.last.ID && (r.left || silent)
 }
 
--- a/internal/process/retry/budget.go
+++ b/internal/process/retry/budget.go
@@ -14,16 +14,21 @@
 
 // Config configures a Budget.
 type Config struct {
+	Bounds
+	// Nodes returns the number of nodes that share the slack.
+	Nodes func() int
+	// Now tells the time; time.Now by default.
+	Now func() time.Time
+}
+
+// Bounds state how many repeats are allowed.
+type Bounds struct {
 	// Ratio is the number of repeats allowed for each request of a client.
 	Ratio float64
 	// Slack is the number of repeats allowed besides in each window, over all nodes.
 	Slack float64
 	// Window is the time over which repeats are counted.
 	Window time.Duration
-	// Nodes returns the number of nodes that share the slack.
-	Nodes func() int
-	// Now tells the time; time.Now by default.
-	Now func() time.Time
 }
 
 // Budget holds this node's part of the allowance for each service. Any window
@@ -55,6 +60,13 @@
 	}
 }
 
+// SetBounds changes the bounds. Tokens that nodes hold already stay.
+func (b *Budget) SetBounds(bounds Bounds) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.config.Bounds = bounds
+}
+
 // Sent notes a request of a client for the service.
 func (b *Budget) Sent(service lagoonbarrow.ServiceName) {
 	b.mu.Lock()
--- a/internal/process/retry/budget_test.go
+++ b/internal/process/retry/budget_test.go
@@ -19,11 +19,13 @@
 	var budgets []*Budget
 	for range nodes {
 		budgets = append(budgets, New(Config{
-			Ratio:  ratio,
-			Slack:  slack,
-			Window: window * time.Second,
-			Nodes:  func() int { return nodes },
-			Now:    func() time.Time { return now },
+			Bounds: Bounds{
+				Ratio:  ratio,
+				Slack:  slack,
+				Window: window * time.Second,
+			},
+			Nodes: func() int { return nodes },
+			Now:   func() time.Time { return now },
 		}))
 	}
 	var repeats [seconds]int
@@ -54,10 +56,12 @@
 func TestAllowanceComesBack(t *testing.T) {
 	now := time.Unix(0, 0)
 	budget := New(Config{
-		Slack:  10,
-		Window: 10 * time.Second,
-		Nodes:  func() int { return 1 },
-		Now:    func() time.Time { return now },
+		Bounds: Bounds{
+			Slack:  10,
+			Window: 10 * time.Second,
+		},
+		Nodes: func() int { return 1 },
+		Now:   func() time.Time { return now },
 	})
 	count := 0
 	for budget.Take("service") {
--- a/internal/process/sidecar/fleet_test.go
+++ b/internal/process/sidecar/fleet_test.go
@@ -20,7 +20,7 @@
 
 // fleet is a store with some sidecars and their backend servers.
 type fleet struct {
-	t       *testing.T
+	t       testing.TB
 	store   *standin.Store
 	members []*member
 	version int
@@ -47,7 +47,7 @@
 	}
 }
 
-func newFleet(t *testing.T, work time.Duration, spoil func(string) standin.Spoiling) *fleet {
+func newFleet(t testing.TB, work time.Duration, spoil func(string) standin.Spoiling) *fleet {
 	t.Helper()
 	store, err := standin.NewStore(1)
 	if err != nil {
--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -89,6 +89,7 @@
 
 // leave refuses further calls of other nodes and tells them so.
 func (s *Sidecar) leave() {
+	s.leaving.Store(true)
 	s.handler.Close()
 	server, known := s.registration.Current()
 	if known {
@@ -127,7 +128,7 @@
 
 // part returns a part of the stop's time limit.
 func (s *Sidecar) part(part float64) time.Duration {
-	return time.Duration(part * float64(s.settings.StopTimeout))
+	return time.Duration(part * float64(s.stopTimeout.Load()))
 }
 
 // awaitQuiet waits until other nodes have closed their connections and all requests
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -107,10 +107,14 @@
 	tables       *feed.Cache
 
 	// highest is the highest configuration version that a node has told of.
-	highest  atomic.Uint64
-	nodes    atomic.Int64
-	stopping atomic.Bool
-	closed   sync.Once
+	highest atomic.Uint64
+	nodes   atomic.Int64
+	// stopTimeout is the time limit of a stop in nanoseconds.
+	stopTimeout atomic.Int64
+	stopping    atomic.Bool
+	// leaving is set once other nodes' calls are refused.
+	leaving atomic.Bool
+	closed  sync.Once
 }
 
 // New builds a sidecar that is not started yet.
@@ -119,6 +123,7 @@
 		config:   config,
 		settings: config.Settings,
 	}
+	s.stopTimeout.Store(int64(config.Settings.StopTimeout))
 	s.buildTelemetry()
 	s.buildState()
 	if err := s.buildServer(); err != nil {
@@ -171,10 +176,12 @@
 	})
 	s.gate = slots.New(slots.Config{})
 	s.budget = retry.New(retry.Config{
-		Ratio:  s.settings.RetryRatio,
-		Slack:  s.settings.RetrySlack,
-		Window: s.settings.RetryWindow,
-		Nodes:  func() int { return int(s.nodes.Load()) },
+		Bounds: retry.Bounds{
+			Ratio:  s.settings.RetryRatio,
+			Slack:  s.settings.RetrySlack,
+			Window: s.settings.RetryWindow,
+		},
+		Nodes: func() int { return int(s.nodes.Load()) },
 	})
 	s.tables = feed.NewCache()
 	source := feed.New(feed.Config{
@@ -339,7 +346,7 @@
 		Slots:   server.Slots,
 		State:   state,
 	}
-	if s.stopping.Load() {
+	if s.leaving.Load() {
 		self.State = lagoonbarrow.StateLeaving
 	}
 	s.directory.SetSelf(self)
--- a/internal/request/forward/forwarder_test.go
+++ b/internal/request/forward/forwarder_test.go
@@ -62,9 +62,11 @@
 		Chooser:   placement.New(placement.Config{}),
 		Transport: transport,
 		Budget: retry.New(retry.Config{
-			Slack:  slack,
-			Window: time.Second,
-			Nodes:  func() int { return 1 },
+			Bounds: retry.Bounds{
+				Slack:  slack,
+				Window: time.Second,
+			},
+			Nodes: func() int { return 1 },
 		}),
 		Version:  func() lagoonbarrow.ConfigurationVersion { return 1 },
 		Heard:    func(lagoonbarrow.ConfigurationVersion) {},
