Wait in TestMarkUnreachable until the victim is known as ready

Cause of the 30 of 1,800 failures listed in KNOWN-RED: the test marked an instance that the calling node did not know yet (one half), or knew as starting (the other half, shown by printing the table's status at the probe: phase 0 in each failed run, phase 1 in the others). The node suspected it in the second case, but an instance that is starting is never shown as suspect. Calls only go to instances known as ready, so neither is a fault of the roster. The test also meant node 7, whose readiness it awaited, and after the kill used it as f.nodes[6].

--- a/internal/process/roster/roster_test.go
+++ b/internal/process/roster/roster_test.go
@@ -289,17 +289,21 @@
 	inBubble(t, func(f *fleet) {
 		f.tune = func(c *Config) { c.ProbeInterval = time.Hour }
 		f.addMany(8, 2)
-		f.eventually(time.Minute, "ready", f.nodes[7].Ready)
-		victim := f.nodes[1]
+		caller, victim := f.nodes[7], f.nodes[1]
+		// Calls go to instances that the caller knows to be ready.
+		f.eventually(time.Minute, "the victim is known as ready", func() bool {
+			seen, _ := caller.Lookup(victim.self.ID)
+			return caller.Ready() && seen.State == lagoonbarrow.StateReady
+		})
 		f.kill(victim)
 		for range 1000 {
-			f.nodes[6].MarkUnreachable(victim.self.ID)
+			caller.MarkUnreachable(victim.self.ID)
 		}
 		f.eventually(5*time.Second, "suspect", func() bool {
-			seen, _ := f.nodes[6].Lookup(victim.self.ID)
+			seen, _ := caller.Lookup(victim.self.ID)
 			return seen.State == lagoonbarrow.StateSuspect
 		})
-		if sent := f.nodes[6].attempts(victim.self.Peer); sent > 2 {
+		if sent := caller.attempts(victim.self.Peer); sent > 2 {
 			t.Errorf("%d probes of one instance", sent)
 		}
 	})
