--- a/configuration.go
+++ b/configuration.go
@@ -24,6 +24,15 @@
 	Limits   RequestLimits
 }
 
+// RouteNames returns the names of all routes.
+func (c *Configuration) RouteNames() map[RouteName]bool {
+	names := map[RouteName]bool{}
+	for i := range c.Routes {
+		names[c.Routes[i].Name] = true
+	}
+	return names
+}
+
 // RequestLimits bound what a client may send.
 type RequestLimits struct {
 	HeaderBytes int
--- a/internal/process/placement/chooser.go
+++ b/internal/process/placement/chooser.go
@@ -179,6 +179,17 @@
 	}
 }
 
+// KeepRoutes forgets the latencies of routes that are not in the list.
+func (c *Chooser) KeepRoutes(names map[lagoonbarrow.RouteName]bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for name := range c.routes {
+		if !names[name] {
+			delete(c.routes, name)
+		}
+	}
+}
+
 // Flight is a request under way.
 type Flight struct {
 	chooser *Chooser
--- a/internal/process/placement/chooser_test.go
+++ b/internal/process/placement/chooser_test.go
@@ -168,3 +168,17 @@
 		t.Fatalf("error %v", err)
 	}
 }
+
+// Guards against statistics that grow with every change of the configuration.
+func TestRemovedRoutesAreForgotten(t *testing.T) {
+	b := newBench()
+	b.answer(0, lagoonbarrow.Observation{
+		Latency: time.Millisecond,
+	})
+	b.chooser.KeepRoutes(map[lagoonbarrow.RouteName]bool{
+		"another": true,
+	})
+	if kept := len(b.chooser.routes); kept != 0 {
+		t.Fatalf("%d routes are kept", kept)
+	}
+}
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -390,6 +390,7 @@
 		return
 	}
 	if s.routes.Offer(configuration) {
+		s.chooser.KeepRoutes(configuration.RouteNames())
 		s.timeline.Record(event.ConfigurationInForce, event.Fields{
 			ContractVersion: uint64(configuration.Version),
 		})
