Hold the budget of repeats beside the called server, writes first

Cause: each node had its part of every service's budget, whether or not its server makes calls there. Writes had no precedence, although a write that fails with a lost call can't be repeated by its client. Failures from below were repeated at each hop above, and blamed on the instance that passed them on.

Ruled out: a budget shared by the callers' number (they can't know it: a node sees only its own calls) and static parts for services that call others (no part is safe for every fan-out).

Change: the node beside the called server counts what arrives there and refuses a repeat above its part as not run, before the server sees it. The calls of a repeated run are marked as repeats too and need the budget of their service. Half of a full budget is kept for calls of normal and critical requests. A run that failed because a call of it failed isn't repeated above, and says nothing of its instance's latency. A new process starts with an empty budget.

Tests: TestNoWindowSeesMoreThanTheAllowance for three kinds of demand, TestImportantCallsFindTheirReserve, TestRepeatedCallsNeedTheBudget, TestFailuresBelowAreNotRepeatedAbove, TestRepeatsAreMarked, TestRepeatsPauseWhileNoneAreAllowed.

--- a/call.go
+++ b/call.go
@@ -31,7 +31,8 @@
 	ReasonLeaving Reason = "leaving"
 	// ReasonNotReady: the instance has no contracts or no backend server yet.
 	ReasonNotReady Reason = "not-ready"
-	// ReasonExhausted: retry tokens were used up below; not retried above.
+	// ReasonExhausted: no repeat is allowed here, or a call below has failed in spite
+	// of its repeats; not retried above.
 	ReasonExhausted Reason = "exhausted"
 	// ReasonDeadline: the deadline passed.
 	ReasonDeadline Reason = "deadline"
@@ -122,6 +123,9 @@
 	MaxWait time.Duration `msgpack:"max-wait,omitempty"`
 	// Configuration is the highest version that the sender knows.
 	Configuration ConfigurationVersion `msgpack:"configuration,omitempty"`
+	// Repeat is set if a server was sent this call before, and on the calls of a
+	// request that is run for such a call.
+	Repeat bool `msgpack:"repeat,omitempty"`
 }
 
 // Safe reports whether the call's method is safe in the sense of RFC 9110, so
@@ -156,6 +160,14 @@
 	Configuration ConfigurationVersion `msgpack:"configuration,omitempty"`
 }
 
+// failedStatus is the lowest HTTP status of an answer that says that a run failed.
+const failedStatus = 500
+
+// Failed reports whether a backend server answered that the run failed.
+func (a *Answer) Failed() bool {
+	return a.Status >= failedStatus
+}
+
 // Refuse returns an answer for a call that was not run.
 func Refuse(id CallID, reason Reason) *Answer {
 	return &Answer{
--- a/internal/process/retry/budget.go
+++ b/internal/process/retry/budget.go
@@ -1,4 +1,6 @@
-// Package retry bounds the repeated sends to a service over all nodes together.
+// Package retry bounds the repeated calls that a service gets. Each node holds the
+// part of the backend server beside it, so that the nodes which call need no
+// agreement: a repeat that its server's part doesn't allow is refused as not run.
 package retry
 
 import (
@@ -8,109 +10,111 @@
 	"lagoonbarrow"
 )
 
-// usedPart is the part of the allowance that nodes use. The rest covers repeats
-// that nodes don't know of, such as those of a process that was restarted.
+// usedPart is the part of the allowance that is used. The rest covers nodes that
+// count the service's instances differently.
 const usedPart = 0.8
 
+// reserves is the part of a full budget that calls of each importance leave to more
+// important ones. A write that fails because a call of it was lost is lost for good,
+// while a client repeats its reads.
+var reserves = [...]float64{
+	lagoonbarrow.ImportanceNone:       0.5,
+	lagoonbarrow.ImportanceDeferrable: 0.5,
+	lagoonbarrow.ImportanceNormal:     0.25,
+	lagoonbarrow.ImportanceCritical:   0,
+}
+
 // Config configures a Budget.
 type Config struct {
 	Bounds
-	// Nodes returns the number of nodes that share the slack.
-	Nodes func() int
+	// Instances returns the number of instances of the service, which share the
+	// slack; 0 while it is not known.
+	Instances func() int
 	// Now tells the time; time.Now by default.
 	Now func() time.Time
 }
 
-// Bounds state how many repeats are allowed.
+// Bounds state how many repeats a service may get.
 type Bounds struct {
 	// Ratio is the number of repeats allowed for each request of a client.
 	Ratio float64
-	// Slack is the number of repeats allowed besides in each window, over all nodes.
+	// Slack is the number of repeats allowed besides in each window, over all
+	// instances of the service.
 	Slack float64
 	// Window is the time over which repeats are counted.
 	Window time.Duration
 }
 
-// Budget holds this node's part of the allowance for each service. Any window
-// sees at most what a full bucket holds and what is earned meanwhile, each of which
-// is half of the allowance.
+// Budget holds the repeats that the backend server beside this node may get. It is
+// empty at the start, since an earlier process may have used it up.
 type Budget struct {
 	config Config
 
-	mu       sync.Mutex
-	services map[lagoonbarrow.ServiceName]*bucket
-}
-
-// bucket is the allowance for one service.
-type bucket struct {
+	mu        sync.Mutex
 	tokens    float64
 	updatedAt time.Time
 	// rate is the moving average of clients' requests a second.
 	rate float64
 }
 
-// New returns a budget whose buckets are full.
+// New returns an empty budget.
 func New(config Config) *Budget {
 	if config.Now == nil {
 		config.Now = time.Now
 	}
 	return &Budget{
-		config:   config,
-		services: map[lagoonbarrow.ServiceName]*bucket{},
+		config:    config,
+		updatedAt: config.Now(),
 	}
 }
 
-// SetBounds changes the bounds. Tokens that nodes hold already stay.
+// SetBounds changes the bounds. Tokens that the budget holds already stay.
 func (b *Budget) SetBounds(bounds Bounds) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.config.Bounds = bounds
 }
 
-// Sent notes a request of a client for the service.
-func (b *Budget) Sent(service lagoonbarrow.ServiceName) {
+// Arrived notes a client's request that is sent to the server for the first time.
+func (b *Budget) Arrived() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	present := b.bucket(service)
-	present.rate += 1 / b.config.Window.Seconds()
+	b.refill()
+	b.rate += 1 / b.config.Window.Seconds()
 }
 
-// Take takes a repeat and reports whether it is allowed.
-func (b *Budget) Take(service lagoonbarrow.ServiceName) bool {
+// Take takes a repeat of a call of the importance and reports whether it is allowed.
+func (b *Budget) Take(importance lagoonbarrow.Importance) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	present := b.bucket(service)
-	if present.tokens < 1 {
+	needed := 1 + reserves[importance]*max(0, b.refill()-1)
+	if b.tokens < needed {
 		return false
 	}
-	present.tokens--
+	b.tokens--
 	return true
 }
 
-// bucket returns the service's bucket at the present time. The caller holds the mutex.
-func (b *Budget) bucket(service lagoonbarrow.ServiceName) *bucket {
+// refill adds the tokens of the time that has passed and returns the most that the
+// budget holds: half of the allowance in one window. The other half is refilled
+// within a window. The caller holds the mutex.
+func (b *Budget) refill() float64 {
 	now := b.config.Now()
-	present, known := b.services[service]
-	if !known {
-		present = &bucket{
-			updatedAt: now,
-		}
-		present.tokens = b.capacity(present)
-		b.services[service] = present
-		return present
-	}
-	passed := min(now.Sub(present.updatedAt), b.config.Window)
+	passed := min(now.Sub(b.updatedAt), b.config.Window)
 	part := passed.Seconds() / b.config.Window.Seconds()
-	capacity := b.capacity(present)
-	present.tokens = min(capacity, present.tokens+capacity*part)
-	present.rate *= 1 - part
-	present.updatedAt = now
-	return present
+	full := b.full()
+	b.tokens = min(full, b.tokens+full*part)
+	b.rate *= 1 - part
+	b.updatedAt = now
+	return full
 }
 
-// capacity is half of this node's allowance in one window.
-func (b *Budget) capacity(present *bucket) float64 {
-	slack := b.config.Slack / float64(max(1, b.config.Nodes()))
-	earned := b.config.Ratio * present.rate * b.config.Window.Seconds()
+func (b *Budget) full() float64 {
+	instances := b.config.Instances()
+	if instances == 0 {
+		return 0
+	}
+	slack := b.config.Slack / float64(instances)
+	earned := b.config.Ratio * b.rate * b.config.Window.Seconds()
 	return usedPart * (slack + earned) / 2
 }
--- a/internal/process/retry/budget_test.go
+++ b/internal/process/retry/budget_test.go
@@ -3,72 +3,132 @@
 import (
 	"testing"
 	"time"
+
+	"lagoonbarrow"
+)
+
+const (
+	testWindow = 10 * time.Second
+	testSlack  = 47.0
+	testRatio  = 0.2
 )
 
-// Guards against nodes that together send more repeats in some window than allowed.
+// clock is a time that tests move.
+type clock struct {
+	now time.Time
+}
+
+func newBudget(instances int) (*Budget, *clock) {
+	c := &clock{
+		now: time.Unix(0, 0),
+	}
+	return New(Config{
+		Bounds: Bounds{
+			Ratio:  testRatio,
+			Slack:  testSlack,
+			Window: testWindow,
+		},
+		Instances: func() int { return instances },
+		Now:       func() time.Time { return c.now },
+	}), c
+}
+
+func takeAll(budget *Budget, importance lagoonbarrow.Importance) int {
+	count := 0
+	for budget.Take(importance) {
+		count++
+	}
+	return count
+}
+
+// Guards against instances that together get more repeats in some window than
+// allowed, however the demand is spread.
 func TestNoWindowSeesMoreThanTheAllowance(t *testing.T) {
 	const (
-		nodes    = 16
-		ratio    = 0.2
-		slack    = 47.0
-		requests = 2
-		seconds  = 60
-		window   = 10
+		instances = 4
+		requests  = 8
+		seconds   = 60
+		window    = int(testWindow / time.Second)
 	)
-	now := time.Unix(0, 0)
-	var budgets []*Budget
-	for range nodes {
-		budgets = append(budgets, New(Config{
-			Bounds: Bounds{
-				Ratio:  ratio,
-				Slack:  slack,
-				Window: window * time.Second,
-			},
-			Nodes: func() int { return nodes },
-			Now:   func() time.Time { return now },
-		}))
+	rows := []struct {
+		name string
+		// demanding reports whether repeats are asked for in a second.
+		demanding func(second int) bool
+	}{
+		{"always", func(int) bool { return true }},
+		{"after a pause", func(second int) bool { return second%25 > 20 }},
+		{"at once", func(second int) bool { return second == 30 || second == 39 }},
 	}
-	var repeats [seconds]int
-	for second := range seconds {
-		for _, budget := range budgets {
-			for range requests {
-				budget.Sent("service")
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			var budgets []*Budget
+			var clocks []*clock
+			for range instances {
+				budget, c := newBudget(instances)
+				budgets = append(budgets, budget)
+				clocks = append(clocks, c)
 			}
-			for budget.Take("service") {
-				repeats[second]++
+			var repeats [seconds]int
+			for second := range seconds {
+				for i, budget := range budgets {
+					for range requests {
+						budget.Arrived()
+					}
+					if row.demanding(second) {
+						repeats[second] += takeAll(budget, lagoonbarrow.ImportanceCritical)
+					}
+					clocks[i].now = clocks[i].now.Add(time.Second)
+				}
 			}
-		}
-		now = now.Add(time.Second)
+			allowed := testRatio*instances*requests*float64(window) + testSlack
+			most := 0
+			for start := range seconds - window {
+				sum := 0
+				for _, count := range repeats[start : start+window] {
+					sum += count
+				}
+				most = max(most, sum)
+			}
+			if float64(most) > allowed || float64(most) < allowed/4 {
+				t.Fatalf("%d repeats in the worst window, allowed are %g", most, allowed)
+			}
+		})
 	}
-	allowed := ratio*nodes*requests*window + slack
-	for start := range seconds - window {
-		sum := 0
-		for _, count := range repeats[start : start+window] {
-			sum += count
-		}
-		if float64(sum) > allowed {
-			t.Fatalf("%d repeats from second %d, allowed are %g", sum, start, allowed)
+}
+
+// Guards against reads that use up the repeats which writes need: clients repeat
+// their reads, but not a write that has run and failed.
+func TestImportantCallsFindTheirReserve(t *testing.T) {
+	rows := []struct {
+		importance lagoonbarrow.Importance
+		least      int
+	}{
+		{lagoonbarrow.ImportanceDeferrable, 4},
+		{lagoonbarrow.ImportanceNormal, 1},
+		{lagoonbarrow.ImportanceCritical, 2},
+	}
+	budget, c := newBudget(2)
+	c.now = c.now.Add(10 * testWindow)
+	for _, row := range rows {
+		if got := takeAll(budget, row.importance); got < row.least {
+			t.Errorf("importance %d: %d repeats are left, want %d", row.importance, got, row.least)
 		}
 	}
 }
 
-// Guards against a budget that never allows anything or doesn't recover.
-func TestAllowanceComesBack(t *testing.T) {
-	now := time.Unix(0, 0)
-	budget := New(Config{
-		Bounds: Bounds{
-			Slack:  10,
-			Window: 10 * time.Second,
-		},
-		Nodes: func() int { return 1 },
-		Now:   func() time.Time { return now },
-	})
-	count := 0
-	for budget.Take("service") {
-		count++
+// Guards against a process that starts with repeats which the one before has used.
+func TestBudgetIsEmptyAtTheStartAndRefills(t *testing.T) {
+	budget, c := newBudget(1)
+	if budget.Take(lagoonbarrow.ImportanceCritical) {
+		t.Error("a new budget allows a repeat")
+	}
+	c.now = c.now.Add(testWindow)
+	if !budget.Take(lagoonbarrow.ImportanceCritical) {
+		t.Error("a budget that has been filled allows no repeat")
 	}
-	now = now.Add(10 * time.Second)
-	if count == 0 || !budget.Take("service") {
-		t.Fatalf("%d repeats at first", count)
+	unknown, c := newBudget(0)
+	c.now = c.now.Add(testWindow)
+	if unknown.Take(lagoonbarrow.ImportanceCritical) {
+		t.Error("a repeat is allowed while the number of instances is not known")
 	}
 }
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -108,7 +108,6 @@
 
 	// highest is the highest configuration version that a node has told of.
 	highest atomic.Uint64
-	nodes   atomic.Int64
 	// stopTimeout is the time limit of a stop in nanoseconds.
 	stopTimeout atomic.Int64
 	stopping    atomic.Bool
@@ -181,7 +180,7 @@
 			Slack:  s.settings.RetrySlack,
 			Window: s.settings.RetryWindow,
 		},
-		Nodes: func() int { return int(s.nodes.Load()) },
+		Instances: s.siblings,
 	})
 	s.tables = feed.NewCache()
 	source := feed.New(feed.Config{
@@ -236,6 +235,7 @@
 		Version:     s.routes.Version,
 		Heard:       s.heard,
 		Gate:        s.gate,
+		Budget:      s.budget,
 		Relay:       s.backend,
 		Recorder:    s.timeline,
 	})
@@ -303,7 +303,6 @@
 		Chooser:   s.chooser,
 		Transport: lateTransport{sidecar: s},
 		Local:     s.handler,
-		Budget:    s.budget,
 		Version:   s.routes.Version,
 		Heard:     s.heard,
 		Recorder:  s.timeline,
@@ -358,8 +357,16 @@
 	s.row.Want(value)
 }
 
+// siblings returns the number of known instances of this node's service, itself
+// included, or 0 while the others are not known.
+func (s *Sidecar) siblings() int {
+	if !s.directory.Ready() {
+		return 0
+	}
+	return len(s.directory.Instances(s.settings.Service))
+}
+
 func (s *Sidecar) membersChanged(ids map[lagoonbarrow.InstanceID]bool) {
-	s.nodes.Store(int64(len(ids)))
 	s.chooser.Keep(ids)
 }
 
--- a/internal/request/entry/routed.go
+++ b/internal/request/entry/routed.go
@@ -40,7 +40,7 @@
 	Routes    *routing.Registry
 	Forwarder *forward.Forwarder
 	// Parent finds the running call that a request of the backend server belongs to.
-	Parent   func(request lagoonbarrow.RequestID) (execute.Parent, bool)
+	Parent   func(request lagoonbarrow.RequestID) (*execute.Run, bool)
 	Recorder lagoonbarrow.Recorder
 }
 
@@ -119,9 +119,13 @@
 		l.refuse(http, status, returnAfter)
 		return
 	}
+	parent := l.inherit(request)
 	ctx, cancel := l.server.watcher.follow(http)
 	defer cancel()
 	answer := l.config.Forwarder.Do(ctx, request)
+	if parent != nil && (answer.Outcome != lagoonbarrow.OutcomeDone || answer.Failed()) {
+		parent.CallFailed()
+	}
 	l.write(http, request.ID, answer)
 	if answer.Outcome != lagoonbarrow.OutcomeDone {
 		l.record(http, request, answer)
@@ -157,23 +161,25 @@
 		Received: received,
 		Deadline: received.Add(min(route.Timeout, l.deadline(http))),
 	}
-	l.inherit(request)
 	return request, 0, 0
 }
 
 // inherit gives a request of the backend server the importance and the deadline
-// of the call that it belongs to.
-func (l *RoutedListener) inherit(request *forward.Request) {
+// of the call that it belongs to, and returns that call, or nil for a request of a
+// client.
+func (l *RoutedListener) inherit(request *forward.Request) *execute.Run {
 	parent, found := l.config.Parent(request.ID)
 	if !found {
 		request.Priority = lagoonbarrow.NewPriority(request.Route.Importance, xxhash.Sum64String(string(request.ID)))
-		return
+		return nil
 	}
 	request.Nested = true
+	request.Repeat = parent.Repeat
 	request.Priority = parent.Priority
 	if parent.Deadline.Before(request.Deadline) {
 		request.Deadline = parent.Deadline
 	}
+	return parent
 }
 
 // deadline returns how long the client waits.
--- a/internal/request/execute/handler.go
+++ b/internal/request/execute/handler.go
@@ -12,6 +12,7 @@
 
 	"lagoonbarrow"
 	"lagoonbarrow/internal/process/registration"
+	"lagoonbarrow/internal/process/retry"
 	"lagoonbarrow/internal/process/slots"
 	"lagoonbarrow/pkg/event"
 )
@@ -32,8 +33,10 @@
 	// Version returns the version of the configuration in force.
 	Version func() lagoonbarrow.ConfigurationVersion
 	// Heard is told the versions that other nodes know.
-	Heard    func(version lagoonbarrow.ConfigurationVersion)
-	Gate     *slots.Gate
+	Heard func(version lagoonbarrow.ConfigurationVersion)
+	Gate  *slots.Gate
+	// Budget bounds the repeated calls that the server gets.
+	Budget   *retry.Budget
 	Relay    Relay
 	Recorder lagoonbarrow.Recorder
 }
@@ -88,13 +91,32 @@
 	if refusal := h.check(call); refusal != nil {
 		return refusal
 	}
-	done := h.running.add(call, deadline)
-	defer done()
+	if !h.affordable(call) {
+		return lagoonbarrow.Refuse(call.ID, lagoonbarrow.ReasonExhausted)
+	}
+	run := h.running.add(call, deadline)
+	defer h.running.remove(call.Request)
 	answer := h.config.Relay.Relay(ctx, call, deadline)
 	h.observe(call.Server, answer)
+	if answer.Outcome == lagoonbarrow.OutcomeDone && answer.Failed() && run.HasFailedCalls() {
+		// Running it again would fail at the same place, and cost the services below
+		// all of its calls once more.
+		answer.Reason = lagoonbarrow.ReasonExhausted
+	}
 	return answer
 }
 
+// affordable reports whether the budget of repeats allows the call.
+func (h *Handler) affordable(call *lagoonbarrow.Call) bool {
+	if call.Repeat {
+		return h.config.Budget.Take(call.Priority.Importance())
+	}
+	if !call.Nested {
+		h.config.Budget.Arrived()
+	}
+	return true
+}
+
 // observe notes what a refusal tells of the server.
 func (h *Handler) observe(server lagoonbarrow.ServerID, answer *lagoonbarrow.Answer) {
 	switch {
@@ -145,6 +167,6 @@
 // Parent returns the call of the server that a request with this id belongs to.
 // Servers usually derive the ids of their own requests from the id of the request
 // that they are running. The relation is a hint: it may be missing.
-func (h *Handler) Parent(request lagoonbarrow.RequestID) (Parent, bool) {
+func (h *Handler) Parent(request lagoonbarrow.RequestID) (*Run, bool) {
 	return h.running.parent(request)
 }
--- a/internal/request/execute/handler_test.go
+++ b/internal/request/execute/handler_test.go
@@ -8,6 +8,7 @@
 
 	"lagoonbarrow"
 	"lagoonbarrow/internal/process/registration"
+	"lagoonbarrow/internal/process/retry"
 	"lagoonbarrow/internal/process/slots"
 	"lagoonbarrow/pkg/event"
 )
@@ -26,7 +27,9 @@
 	answer      lagoonbarrow.Answer
 	// block holds runs back until it is closed.
 	block chan struct{}
-	runs  []*lagoonbarrow.Call
+	// working is called while a call runs.
+	working func(call *lagoonbarrow.Call)
+	runs    []*lagoonbarrow.Call
 }
 
 func (f *fakeServer) current() (registration.Server, bool) {
@@ -38,6 +41,21 @@
 	}, f.ready
 }
 
+// budget returns a budget that holds two repeats.
+func (f *fakeServer) budget() *retry.Budget {
+	now := time.Unix(0, 0)
+	budget := retry.New(retry.Config{
+		Bounds: retry.Bounds{
+			Slack:  5,
+			Window: time.Second,
+		},
+		Instances: func() int { return 1 },
+		Now:       func() time.Time { return now },
+	})
+	now = now.Add(time.Second)
+	return budget
+}
+
 func (f *fakeServer) setReady(ready bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -51,6 +69,9 @@
 	if f.block != nil {
 		<-f.block
 	}
+	if f.working != nil {
+		f.working(call)
+	}
 	answer := f.answer
 	answer.Call = call.ID
 	return &answer
@@ -72,6 +93,7 @@
 		Version:     func() lagoonbarrow.ConfigurationVersion { return 1 },
 		Heard:       func(lagoonbarrow.ConfigurationVersion) {},
 		Gate:        gate,
+		Budget:      server.budget(),
 		Relay:       server,
 		Recorder:    noRecorder{},
 	})
@@ -203,7 +225,7 @@
 	held := newRunning()
 	call := newCall("9c41")
 	call.Priority = lagoonbarrow.NewPriority(lagoonbarrow.ImportanceCritical, 0)
-	end := held.add(call, time.Now())
+	held.add(call, time.Now())
 	rows := []struct {
 		id   lagoonbarrow.RequestID
 		want bool
@@ -222,8 +244,80 @@
 			t.Errorf("%q: found %t, want %t", row.id, found, row.want)
 		}
 	}
-	end()
+	held.remove(call.Request)
 	if _, found := held.parent("9c41.1"); found || held.count() != 0 {
 		t.Error("a call that has ended is still a parent")
 	}
 }
+
+// Guards against more repeated calls at a server than its budget holds, and
+// against first sends that are refused for want of it.
+func TestRepeatedCallsNeedTheBudget(t *testing.T) {
+	server := &fakeServer{
+		ready:  true,
+		answer: done,
+	}
+	handler, gate := newHandler(server)
+	served := 0
+	for range 10 {
+		call := newCall("request")
+		call.Repeat = true
+		call.Priority = lagoonbarrow.NewPriority(lagoonbarrow.ImportanceCritical, 0)
+		answer := handler.HandleCall(context.Background(), call)
+		if answer.Outcome == lagoonbarrow.OutcomeDone {
+			served++
+			continue
+		}
+		if answer.Outcome != lagoonbarrow.OutcomeNotRun || answer.Reason != lagoonbarrow.ReasonExhausted || answer.Offered {
+			t.Fatalf("answer %+v", answer)
+		}
+	}
+	if served != 2 || server.count() != 2 {
+		t.Fatalf("%d repeats were served, %d runs", served, server.count())
+	}
+	if load := gate.Load(); load.Running != 0 {
+		t.Fatalf("%d slots are still held", load.Running)
+	}
+	if answer := handler.HandleCall(context.Background(), newCall("first")); answer.Outcome != lagoonbarrow.OutcomeDone {
+		t.Fatalf("answer %+v", answer)
+	}
+}
+
+// Guards against repeats at each hop above a failure, which would multiply it: a
+// run that failed since a call of it failed is not to be repeated.
+func TestFailuresBelowAreNotRepeatedAbove(t *testing.T) {
+	rows := []struct {
+		name   string
+		failed bool
+		status int
+		want   lagoonbarrow.Reason
+	}{
+		{"failed by itself", false, 500, lagoonbarrow.ReasonNone},
+		{"failed with its calls", true, 500, lagoonbarrow.ReasonExhausted},
+		{"served without its calls", true, 200, lagoonbarrow.ReasonNone},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			server := &fakeServer{
+				ready:  true,
+				answer: done,
+			}
+			server.answer.Status = row.status
+			handler, _ := newHandler(server)
+			server.working = func(*lagoonbarrow.Call) {
+				run, found := handler.Parent("request.1")
+				if !found {
+					t.Error("the run isn't found")
+					return
+				}
+				if row.failed {
+					run.CallFailed()
+				}
+			}
+			answer := handler.HandleCall(context.Background(), newCall("request"))
+			if answer.Outcome != lagoonbarrow.OutcomeDone || answer.Reason != row.want {
+				t.Fatalf("answer %+v", answer)
+			}
+		})
+	}
+}
--- a/internal/request/execute/running.go
+++ b/internal/request/execute/running.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lagoonbarrow"
@@ -13,40 +14,58 @@
 // server adds for its own requests.
 const idSeparator = '.'
 
-// Parent is a call that the backend server is running.
-type Parent struct {
+// Run is a call that the backend server is running.
+type Run struct {
 	Priority lagoonbarrow.Priority
 	Deadline time.Time
+	// Repeat is set if a server was sent the call before.
+	Repeat bool
+	// failedCalls is set if a call that the server made for it has failed.
+	failedCalls atomic.Bool
+}
+
+// CallFailed notes that a call made for this run has failed for good.
+func (r *Run) CallFailed() {
+	r.failedCalls.Store(true)
+}
+
+// HasFailedCalls reports whether a call made for this run has failed for good.
+func (r *Run) HasFailedCalls() bool {
+	return r.failedCalls.Load()
 }
 
 // running holds the calls that the backend server is running.
 type running struct {
 	mu    sync.Mutex
-	calls map[lagoonbarrow.RequestID]Parent
+	calls map[lagoonbarrow.RequestID]*Run
 	total int
 }
 
 func newRunning() *running {
 	return &running{
-		calls: map[lagoonbarrow.RequestID]Parent{},
+		calls: map[lagoonbarrow.RequestID]*Run{},
 	}
 }
 
-// add notes a running call until the returned function is called.
-func (r *running) add(call *lagoonbarrow.Call, deadline time.Time) (done func()) {
+// add notes a running call until remove.
+func (r *running) add(call *lagoonbarrow.Call, deadline time.Time) *Run {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.total++
-	r.calls[call.Request] = Parent{
+	run := &Run{
 		Priority: call.Priority,
 		Deadline: deadline,
+		Repeat:   call.Repeat,
 	}
-	return func() {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		r.total--
-		delete(r.calls, call.Request)
-	}
+	r.total++
+	r.calls[call.Request] = run
+	return run
+}
+
+func (r *running) remove(request lagoonbarrow.RequestID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.total--
+	delete(r.calls, request)
 }
 
 func (r *running) count() int {
@@ -55,10 +74,10 @@
 	return r.total
 }
 
-func (r *running) parent(request lagoonbarrow.RequestID) (Parent, bool) {
+func (r *running) parent(request lagoonbarrow.RequestID) (*Run, bool) {
 	separator := strings.LastIndexByte(string(request), idSeparator)
 	if separator < 0 {
-		return Parent{}, false
+		return nil, false
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -68,7 +87,7 @@
 		}
 		separator = strings.LastIndexByte(string(request[:separator]), idSeparator)
 	}
-	return Parent{}, false
+	return nil, false
 }
 
 // describe tells why a call was not served, for the log.
--- a/internal/request/forward/forwarder.go
+++ b/internal/request/forward/forwarder.go
@@ -14,7 +14,6 @@
 
 	"lagoonbarrow"
 	"lagoonbarrow/internal/process/placement"
-	"lagoonbarrow/internal/process/retry"
 	"lagoonbarrow/internal/version/routing"
 	"lagoonbarrow/pkg/event"
 )
@@ -46,7 +45,6 @@
 	Transport Transport
 	// Local serves calls for the backend server beside this node.
 	Local    lagoonbarrow.CallHandler
-	Budget   *retry.Budget
 	Version  func() lagoonbarrow.ConfigurationVersion
 	Heard    func(version lagoonbarrow.ConfigurationVersion)
 	Recorder lagoonbarrow.Recorder
@@ -58,12 +56,15 @@
 	// calls numbers the calls. A number is enough to tell the answers on a connection
 	// apart, and shorter than the request's id.
 	calls atomic.Uint64
+	// exhausted remembers which services allow no repeats.
+	exhausted *exhaustion
 }
 
 // New returns a forwarder.
 func New(config Config) *Forwarder {
 	return &Forwarder{
-		config: config,
+		config:    config,
+		exhausted: newExhaustion(),
 	}
 }
 
@@ -75,6 +76,8 @@
 	Priority lagoonbarrow.Priority
 	// Nested is set for a request that the backend server makes for one it is running.
 	Nested bool
+	// Repeat is set for a nested request whose parent is a repeated call.
+	Repeat bool
 	Host   string
 	Method string
 	// Path holds the query too.
@@ -107,9 +110,6 @@
 func (f *Forwarder) Do(ctx context.Context, request *Request) *lagoonbarrow.Answer {
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
-	if !request.Nested {
-		f.config.Budget.Sent(request.Service)
-	}
 	state := &progress{}
 	for len(state.tried) < maxInstances {
 		if time.Until(request.Deadline) < leastTime || ctx.Err() != nil {
@@ -120,7 +120,7 @@
 			break
 		}
 		state.tried = append(state.tried, choice.Instance.ID)
-		answer := f.send(ctx, request, choice, len(state.tried) == maxInstances)
+		answer := f.send(ctx, request, choice, state)
 		state.note(answer)
 		if answer.Outcome == lagoonbarrow.OutcomeDone && !retryable(answer) {
 			return answer
@@ -159,22 +159,24 @@
 }
 
 // retryable reports whether a whole answer tells of a failure that another server
-// may not have.
+// may not have. One whose calls below have failed has it too.
 func retryable(answer *lagoonbarrow.Answer) bool {
-	return answer.Status >= serverFailure
+	return answer.Failed() && answer.Reason != lagoonbarrow.ReasonExhausted
 }
 
 // callIDBase is the base of the numbers in call ids.
 const callIDBase = 36
 
-// serverFailure is the first status of failures of the server.
-const serverFailure = 500
-
 // mayRepeat reports whether the request may be sent to another instance. One that
-// was not sent to a server always may. Others count against the budget that all
-// nodes share, and are repeated only for requests whose sender doesn't repeat them:
-// a client's repeat costs less, since calls made by a repeated run count as well.
+// was not sent to a server always may. Others count against the budget of the
+// service, and are repeated only for requests whose sender doesn't repeat them: a
+// client's repeat costs nothing of it.
 func (f *Forwarder) mayRepeat(request *Request, state *progress) bool {
+	importance := request.Priority.Importance()
+	if state.last.Reason == lagoonbarrow.ReasonExhausted {
+		f.exhausted.note(request.Service, importance, time.Now())
+		return false
+	}
 	if !state.last.Offered && state.last.Outcome == lagoonbarrow.OutcomeNotRun {
 		return true
 	}
@@ -182,12 +184,12 @@
 	if !mayRunAgain || !request.Nested || state.offered >= request.Route.MaxServers {
 		return false
 	}
-	return f.config.Budget.Take(request.Service)
+	return !f.exhausted.holds(request.Service, importance, time.Now())
 }
 
 // send sends the request to one instance.
-func (f *Forwarder) send(ctx context.Context, request *Request, choice placement.Choice, last bool) *lagoonbarrow.Answer {
-	call := f.call(request, choice, last)
+func (f *Forwarder) send(ctx context.Context, request *Request, choice placement.Choice, state *progress) *lagoonbarrow.Answer {
+	call := f.call(request, choice, state)
 	flight := f.config.Chooser.Started(choice.Instance.ID, request.Route.Name)
 	started := time.Now()
 	answer, err := f.exchange(ctx, choice.Instance, call)
@@ -200,7 +202,8 @@
 		Load:    answer.Load,
 		HasLoad: true,
 	}
-	if answer.Offered {
+	// An answer that failed for want of an answer below tells nothing of the instance.
+	if answer.Offered && answer.Reason != lagoonbarrow.ReasonExhausted {
 		observed.Latency = time.Since(started)
 		observed.Failed = failedAtServer(answer)
 	}
@@ -235,13 +238,15 @@
 	return f.config.Transport.Call(ctx, to, call)
 }
 
-func (f *Forwarder) call(request *Request, choice placement.Choice, last bool) *lagoonbarrow.Call {
+func (f *Forwarder) call(request *Request, choice placement.Choice, state *progress) *lagoonbarrow.Call {
+	last := len(state.tried) == maxInstances
 	return &lagoonbarrow.Call{
 		ID:            lagoonbarrow.CallID(strconv.FormatUint(f.calls.Add(1), callIDBase)),
 		Request:       request.ID,
 		Priority:      request.Priority,
 		Nested:        request.Nested,
 		AtMostOnce:    !request.Route.Idempotent,
+		Repeat:        request.Repeat || state.offered > 0,
 		Remaining:     time.Until(request.Deadline),
 		MaxWait:       maxWait(request, last || choice.Last || choice.Full),
 		Configuration: f.config.Version(),
--- a/internal/request/forward/forwarder_test.go
+++ b/internal/request/forward/forwarder_test.go
@@ -9,7 +9,6 @@
 
 	"lagoonbarrow"
 	"lagoonbarrow/internal/process/placement"
-	"lagoonbarrow/internal/process/retry"
 	"lagoonbarrow/internal/version/routing"
 	"lagoonbarrow/pkg/event"
 )
@@ -49,7 +48,7 @@
 
 func (noRecorder) Record(event.Kind, event.Fields) {}
 
-func newForwarder(transport Transport, slack float64) *Forwarder {
+func newForwarder(transport Transport) *Forwarder {
 	directory := fakeDirectory{}
 	for _, id := range []lagoonbarrow.InstanceID{"a", "b", "c"} {
 		directory = append(directory, lagoonbarrow.Instance{
@@ -61,16 +60,9 @@
 		Directory: directory,
 		Chooser:   placement.New(placement.Config{}),
 		Transport: transport,
-		Budget: retry.New(retry.Config{
-			Bounds: retry.Bounds{
-				Slack:  slack,
-				Window: time.Second,
-			},
-			Nodes: func() int { return 1 },
-		}),
-		Version:  func() lagoonbarrow.ConfigurationVersion { return 1 },
-		Heard:    func(lagoonbarrow.ConfigurationVersion) {},
-		Recorder: noRecorder{},
+		Version:   func() lagoonbarrow.ConfigurationVersion { return 1 },
+		Heard:     func(lagoonbarrow.ConfigurationVersion) {},
+		Recorder:  noRecorder{},
 	})
 }
 
@@ -126,6 +118,20 @@
 			Offered: true,
 		},
 	}
+	exhausted = reply{
+		answer: lagoonbarrow.Answer{
+			Outcome: lagoonbarrow.OutcomeNotRun,
+			Reason:  lagoonbarrow.ReasonExhausted,
+		},
+	}
+	failedBelow = reply{
+		answer: lagoonbarrow.Answer{
+			Outcome: lagoonbarrow.OutcomeDone,
+			Reason:  lagoonbarrow.ReasonExhausted,
+			Status:  500,
+			Offered: true,
+		},
+	}
 	notSent = reply{
 		err: lagoonbarrow.ErrNotSent,
 	}
@@ -141,33 +147,34 @@
 		name       string
 		idempotent bool
 		nested     bool
-		slack      float64
 		replies    []reply
 		outcome    lagoonbarrow.Outcome
 		status     int
 		calls      int
 	}{
-		{"served", false, false, 10, []reply{served}, lagoonbarrow.OutcomeDone, 200, 1},
-		{"refused by a node", false, false, 0, []reply{refusedByNode, notSent, served}, lagoonbarrow.OutcomeDone, 200, 3},
-		{"refused by all nodes", false, false, 0, []reply{refusedByNode}, lagoonbarrow.OutcomeNotRun, 0, 3},
-		{"write lost between nodes", false, true, 10, []reply{lostBetweenNodes, served}, lagoonbarrow.OutcomeUnknown, 0, 1},
-		{"write lost at its server", false, true, 10, []reply{lostAtServer, served}, lagoonbarrow.OutcomeUnknown, 0, 1},
-		{"write failed at its server", false, true, 10, []reply{failedAtBackend, served}, lagoonbarrow.OutcomeDone, 500, 1},
-		{"write refused by its server", false, true, 10, []reply{refusedByServer, served}, lagoonbarrow.OutcomeDone, 200, 2},
-		{"read lost, its client repeats it", true, false, 10, []reply{lostAtServer, served}, lagoonbarrow.OutcomeUnknown, 0, 1},
-		{"call lost", true, true, 10, []reply{lostAtServer, served}, lagoonbarrow.OutcomeDone, 200, 2},
-		{"call failed at its server", true, true, 10, []reply{failedAtBackend, served}, lagoonbarrow.OutcomeDone, 200, 2},
-		{"call lost without a budget", true, true, 0, []reply{lostAtServer, served}, lagoonbarrow.OutcomeUnknown, 0, 1},
-		{"call lost, then refused", true, true, 10, []reply{lostAtServer, refusedByNode}, lagoonbarrow.OutcomeUnknown, 0, 3},
-		{"call failed, then refused", true, true, 10, []reply{failedAtBackend, refusedByNode}, lagoonbarrow.OutcomeDone, 500, 3},
-		{"call lost at as many servers as allowed", true, true, 10, []reply{lostAtServer}, lagoonbarrow.OutcomeUnknown, 0, 2},
+		{"served", false, false, []reply{served}, lagoonbarrow.OutcomeDone, 200, 1},
+		{"refused by a node", false, false, []reply{refusedByNode, notSent, served}, lagoonbarrow.OutcomeDone, 200, 3},
+		{"refused by all nodes", false, false, []reply{refusedByNode}, lagoonbarrow.OutcomeNotRun, 0, 3},
+		{"write lost between nodes", false, true, []reply{lostBetweenNodes, served}, lagoonbarrow.OutcomeUnknown, 0, 1},
+		{"write lost at its server", false, true, []reply{lostAtServer, served}, lagoonbarrow.OutcomeUnknown, 0, 1},
+		{"write failed at its server", false, true, []reply{failedAtBackend, served}, lagoonbarrow.OutcomeDone, 500, 1},
+		{"write refused by its server", false, true, []reply{refusedByServer, served}, lagoonbarrow.OutcomeDone, 200, 2},
+		{"read lost, its client repeats it", true, false, []reply{lostAtServer, served}, lagoonbarrow.OutcomeUnknown, 0, 1},
+		{"call lost", true, true, []reply{lostAtServer, served}, lagoonbarrow.OutcomeDone, 200, 2},
+		{"call failed at its server", true, true, []reply{failedAtBackend, served}, lagoonbarrow.OutcomeDone, 200, 2},
+		{"call lost, no repeat allowed", true, true, []reply{lostAtServer, exhausted, served}, lagoonbarrow.OutcomeUnknown, 0, 2},
+		{"call refused by its server, no repeat allowed", true, true, []reply{refusedByServer, exhausted, served}, lagoonbarrow.OutcomeNotRun, 0, 2},
+		{"call failed since calls of it failed", true, true, []reply{failedBelow, served}, lagoonbarrow.OutcomeDone, 500, 1},
+		{"call lost, then refused", true, true, []reply{lostAtServer, refusedByNode}, lagoonbarrow.OutcomeUnknown, 0, 3},
+		{"call failed, then refused", true, true, []reply{failedAtBackend, refusedByNode}, lagoonbarrow.OutcomeDone, 500, 3},
+		{"call lost at as many servers as allowed", true, true, []reply{lostAtServer}, lagoonbarrow.OutcomeUnknown, 0, 2},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
 			transport := &fakeTransport{
 				replies: row.replies,
 			}
-			answer := newForwarder(transport, row.slack).Do(context.Background(), newRequest(row.idempotent, row.nested))
+			answer := newForwarder(transport).Do(context.Background(), newRequest(row.idempotent, row.nested))
 			if answer.Outcome != row.outcome || answer.Status != row.status || len(transport.calls) != row.calls {
 				t.Fatalf("outcome %s status %d after %d calls, want %s %d %d", answer.Outcome, answer.Status, len(transport.calls), row.outcome, row.status, row.calls)
 			}
@@ -192,7 +199,7 @@
 	}
 	request := newRequest(true, false)
 	request.Deadline = time.Now().Add(time.Second)
-	newForwarder(transport, 0).Do(context.Background(), request)
+	newForwarder(transport).Do(context.Background(), request)
 	for _, call := range transport.calls {
 		if call.Remaining > time.Second || call.Remaining <= 0 {
 			t.Fatalf("%s are handed on", call.Remaining)
@@ -208,13 +215,13 @@
 	}
 	late := newRequest(true, false)
 	late.Deadline = time.Now()
-	answer := newForwarder(transport, 0).Do(context.Background(), late)
+	answer := newForwarder(transport).Do(context.Background(), late)
 	if answer.Outcome != lagoonbarrow.OutcomeNotRun || len(transport.calls) != 0 {
 		t.Fatalf("late: %+v after %d calls", answer, len(transport.calls))
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	answer = newForwarder(transport, 0).Do(ctx, newRequest(true, false))
+	answer = newForwarder(transport).Do(ctx, newRequest(true, false))
 	if answer.Reason != lagoonbarrow.ReasonCancelled || len(transport.calls) != 0 {
 		t.Fatalf("cancelled: %+v after %d calls", answer, len(transport.calls))
 	}
@@ -256,7 +263,7 @@
 			err: errors.New("anything"),
 		}},
 	}
-	answer := newForwarder(transport, 0).Do(context.Background(), newRequest(false, false))
+	answer := newForwarder(transport).Do(context.Background(), newRequest(false, false))
 	if answer.Outcome != lagoonbarrow.OutcomeUnknown {
 		t.Fatalf("outcome %s", answer.Outcome)
 	}
@@ -267,7 +274,7 @@
 	transport := &fakeTransport{
 		replies: []reply{lostBetweenNodes, served},
 	}
-	forwarder := newForwarder(transport, 0)
+	forwarder := newForwarder(transport)
 	forwarder.Do(context.Background(), newRequest(true, false))
 	for range 10 {
 		forwarder.Do(context.Background(), newRequest(true, false))
@@ -303,7 +310,7 @@
 		},
 		hanging: "a",
 	}
-	forwarder := newForwarder(transport, 0)
+	forwarder := newForwarder(transport)
 	const warm = 60
 	for range 2 * warm {
 		request := newRequest(true, false)
@@ -320,3 +327,58 @@
 		t.Fatalf("%d of the last %d requests went to the instance that doesn't answer", hung, warm)
 	}
 }
+
+// Guards against repeats that aren't marked, which no budget would count.
+func TestRepeatsAreMarked(t *testing.T) {
+	rows := []struct {
+		name string
+		// inherited is set for a call of a run that is a repeat itself.
+		inherited bool
+		replies   []reply
+		want      []bool
+	}{
+		{"first send", false, []reply{served}, []bool{false}},
+		{"after a refusal by a node", false, []reply{refusedByNode, served}, []bool{false, false}},
+		{"after a lost answer", false, []reply{lostAtServer, served}, []bool{false, true}},
+		{"after a lost answer and a refusal", false, []reply{lostAtServer, refusedByNode, served}, []bool{false, true, true}},
+		{"call of a repeated run", true, []reply{served}, []bool{true}},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			transport := &fakeTransport{
+				replies: row.replies,
+			}
+			request := newRequest(true, true)
+			request.Repeat = row.inherited
+			newForwarder(transport).Do(context.Background(), request)
+			for i, call := range transport.calls {
+				if call.Repeat != row.want[i] {
+					t.Errorf("send %d: marked as a repeat %t, want %t", i, call.Repeat, row.want[i])
+				}
+			}
+		})
+	}
+}
+
+// Guards against a round trip for each repeat while a service allows none, and
+// against important calls that aren't tried since a less important one was refused.
+func TestRepeatsPauseWhileNoneAreAllowed(t *testing.T) {
+	transport := &fakeTransport{
+		replies: []reply{lostAtServer, exhausted, lostAtServer},
+	}
+	forwarder := newForwarder(transport)
+	request := newRequest(true, true)
+	request.Priority = lagoonbarrow.NewPriority(lagoonbarrow.ImportanceDeferrable, 0)
+	forwarder.Do(context.Background(), request)
+	asked := len(transport.calls)
+	forwarder.Do(context.Background(), request)
+	if got := len(transport.calls) - asked; got != 1 {
+		t.Errorf("%d sends while no repeat is allowed, want 1", got)
+	}
+	asked = len(transport.calls)
+	request.Priority = lagoonbarrow.NewPriority(lagoonbarrow.ImportanceCritical, 0)
+	forwarder.Do(context.Background(), request)
+	if got := len(transport.calls) - asked; got != 2 {
+		t.Errorf("%d sends of a more important call, want 2", got)
+	}
+}
