Refuse at the entry what fails in a service below

Cause: while the deepest service has too few slots, requests that will fail there run in the services above first.

Ruled out: the order at the deepest service (its slots were used for whole requests to 94 %) and a limit at the service itself.

Change: the gate beside each server measures the priority below which nested calls find no slot; the control is the one of the node's admission, now a package of its own. Answers carry the highest threshold that their calls met, and the entry refuses client requests below it as not run, with a time to come back within the objective. Critical requests are never refused so. Refusals before a route is found are logged too.

--- a/internal/process/admission/control.go
+++ b/internal/process/admission/control.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/process/threshold"
 )
 
 // Step makes one control step and, at the end of a window, moves the threshold
@@ -28,11 +29,11 @@
 
 func (g *Gate) sample(l *lane, now time.Time) {
 	if l.queue.length > 0 {
-		l.control.sample(now.Sub(l.queue.oldest()), false)
+		l.control.Sample(now.Sub(l.queue.oldest()), false)
 		return
 	}
 	idle := g.running < g.limiter.limit && l.running < g.laneLimit(l)
-	l.control.sample(0, idle)
+	l.control.Sample(0, idle)
 }
 
 // expireQueued drops the queued calls that can't meet their deadline any more.
@@ -51,22 +52,22 @@
 	elapsed := now.Sub(g.windowStart)
 	g.windowStart = now
 	if elapsed > pauseWindows*g.config.Window {
-		g.short.control.forgetWindow()
-		g.long.control.forgetWindow()
+		g.short.control.Forget()
+		g.long.control.Forget()
 		return
 	}
 	g.operations.close()
 	g.limiter.close(now, &g.operations, g.running)
 	for _, l := range []*lane{&g.short, &g.long} {
-		before := l.control.threshold
-		l.control.close(windowEnd{
-			scale:     float64(g.config.Window) / float64(elapsed),
-			window:    g.config.Window,
-			target:    g.targetDelay(l),
-			queue:     &l.queue,
-			potential: g.potential(l),
-			hold:      l.hold,
-			lowerBusy: g.lowerBusy(now),
+		before := l.control.Threshold()
+		l.control.Close(threshold.Window{
+			Length:    g.config.Window,
+			Elapsed:   elapsed,
+			Target:    g.targetDelay(l),
+			AddQueued: l.queue.countsFrom,
+			Potential: g.potential(l),
+			Hold:      l.hold,
+			LowerBusy: g.lowerBusy(now),
 		})
 		g.shedBelow(l)
 		g.recordThreshold(l, before)
@@ -109,7 +110,7 @@
 func (g *Gate) shedBelow(l *lane) {
 	for {
 		last := l.queue.tail()
-		if last == nil || l.control.threshold.Admits(last.rank) {
+		if last == nil || l.control.Threshold().Admits(last.rank) {
 			return
 		}
 		l.queue.remove(last)
@@ -268,6 +269,6 @@
 		Running:    l.running,
 		Queued:     l.queue.length,
 		Threshold:  g.threshold(l),
-		QueueDelay: l.control.lastStanding,
+		QueueDelay: l.control.Standing(),
 	}
 }
--- a/internal/process/admission/gate.go
+++ b/internal/process/admission/gate.go
@@ -227,7 +227,7 @@
 	if !g.config.Plain {
 		w.rank = w.work.Priority
 	}
-	w.lane.control.arrived[w.rank]++
+	w.lane.control.Arrived(w.rank)
 	if w.critical() {
 		g.lastCritical = now
 	}
@@ -459,7 +459,7 @@
 	g.running--
 	g.runningBy[level]--
 	p.lane.running--
-	p.lane.control.freed++
+	p.lane.control.Freed()
 	if p.preempted {
 		g.preempted.remove(p)
 	} else {
@@ -489,10 +489,10 @@
 // threshold is the lowest priority that a lane admits. Between two windows, work
 // below the critical level may have come to the other lane; then no critical call is refused.
 func (g *Gate) threshold(l *lane) lagoonbarrow.Threshold {
-	if l.control.threshold > lagoonbarrow.CriticalThreshold && g.lowerBusy(g.config.Clock.Now()) {
+	if l.control.Threshold() > lagoonbarrow.CriticalThreshold && g.lowerBusy(g.config.Clock.Now()) {
 		return lagoonbarrow.CriticalThreshold
 	}
-	return l.control.threshold
+	return l.control.Threshold()
 }
 
 // lowerBusy reports whether work below the critical level is running or queued,
--- a/internal/process/admission/gate_test.go
+++ b/internal/process/admission/gate_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/goleak"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/process/threshold"
 	"lagoonbarrow/pkg/event"
 )
 
@@ -168,7 +169,7 @@
 	gate, _ := warmGate(t, Config{
 		Slots: 8,
 	})
-	gate.long.control.threshold = 255
+	gate.long.control = threshold.New(255)
 	long := lagoonbarrow.Work{
 		Priority: critical,
 		Long:     true,
--- a/internal/process/admission/lane.go
+++ b/internal/process/admission/lane.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/process/threshold"
 )
 
 // holdWeight is the weight of one call in a lane's mean time in a slot.
@@ -17,7 +18,7 @@
 	running int
 	// runningBy lists the running calls of each importance that were not preempted.
 	runningBy [levels]permitList
-	control   thresholdControl
+	control   threshold.Control
 	// criticalLate is set while a critical call waits longer than the target delay.
 	criticalLate bool
 	// hold is the mean time that calls held a slot.
--- a/internal/process/admission/queue.go
+++ b/internal/process/admission/queue.go
@@ -5,10 +5,11 @@
 	"time"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/process/threshold"
 )
 
 const (
-	priorities    = 256
+	priorities    = threshold.Priorities
 	bitsPerWord   = 64
 	priorityWords = priorities / bitsPerWord
 )
--- a/internal/process/admission/report.go
+++ b/internal/process/admission/report.go
@@ -78,13 +78,13 @@
 	g.recorded.events = 0
 	g.metrics.limit.Update(float64(g.limiter.limit))
 	g.metrics.running.Update(float64(g.running))
-	g.metrics.threshold.Update(float64(g.short.control.threshold))
+	g.metrics.threshold.Update(float64(g.short.control.Threshold()))
 	g.metrics.shortQueued.Update(float64(g.short.queue.length))
 	g.metrics.longQueued.Update(float64(g.long.queue.length))
 }
 
 func (g *Gate) recordThreshold(l *lane, before lagoonbarrow.Threshold) {
-	after := l.control.threshold
+	after := l.control.Threshold()
 	if g.config.Recorder == nil || (before == 0) == (after == 0) {
 		return
 	}
@@ -93,7 +93,7 @@
 		kind = event.OverloadEnded
 	}
 	g.config.Recorder.Record(kind, event.Fields{
-		Detail: fmt.Sprintf("lane=%s threshold=%d standing-delay=%s", l.name, after, l.control.lastStanding),
+		Detail: fmt.Sprintf("lane=%s threshold=%d standing-delay=%s", l.name, after, l.control.Standing()),
 	})
 }
 
@@ -122,7 +122,7 @@
 		return
 	}
 	g.recordCall(event.CallShed, w.work, fmt.Sprintf("lane=%s priority=%d threshold=%d reason=%q",
-		w.lane.name, w.work.Priority, w.lane.control.threshold, reason))
+		w.lane.name, w.work.Priority, w.lane.control.Threshold(), reason))
 }
 
 func (g *Gate) recordExpired(w *waiter, waited time.Duration) {
--- a/internal/process/slots/gate.go
+++ b/internal/process/slots/gate.go
@@ -73,6 +73,9 @@
 	level int
 	// priority orders the waiters of a level; equal ones go in their order of arrival.
 	priority lagoonbarrow.Priority
+	// demanded is the priority of the call.
+	demanded lagoonbarrow.Priority
+	since    time.Time
 	granted  chan error
 }
 
@@ -80,11 +83,12 @@
 type Gate struct {
 	config Config
 
-	mu      sync.Mutex
-	limit   int
-	running int
-	queued  int
-	queues  [levels][]*waiter
+	mu       sync.Mutex
+	limit    int
+	running  int
+	queued   int
+	queues   [levels][]*waiter
+	pressure pressure
 	// hold is the average time that a slot is held, in seconds; 0 before the first.
 	hold float64
 }
@@ -143,9 +147,13 @@
 	defer g.mu.Unlock()
 	level := demand.level()
 	self := &waiter{
-		level:   level,
-		granted: make(chan error, 1),
+		level:    level,
+		demanded: demand.Priority,
+		since:    g.config.Now(),
+		granted:  make(chan error, 1),
 	}
+	g.pressure.control.Arrived(demand.Priority)
+	g.step()
 	if demand.Nested {
 		self.priority = demand.Priority
 	}
@@ -266,6 +274,8 @@
 		}
 		g.hold += holdWeight * (held - g.hold)
 		g.running--
+		g.pressure.control.Freed()
+		g.step()
 		g.grant()
 	}
 }
--- a/internal/process/admission/threshold.go
+++ b/internal/process/threshold/control.go
@@ -1,4 +1,6 @@
-package admission
+// Package threshold decides below which priority work is refused, by the delay of
+// those that queue for slots.
+package threshold
 
 import (
 	"math"
@@ -7,6 +9,9 @@
 	"lagoonbarrow"
 )
 
+// Priorities is the number of priorities.
+const Priorities = 256
+
 const (
 	// arrivalsWeight smooths arrivals and completions over about two windows,
 	// so that the threshold follows a change of load within a few windows.
@@ -26,19 +31,19 @@
 	// blindStep is the rise while no call has ended yet, so that the capacity is unknown.
 	blindStep = 16
 	// highestThreshold still admits the most important priority.
-	highestThreshold = lagoonbarrow.Threshold(priorities - 1)
+	highestThreshold = lagoonbarrow.Threshold(Priorities - 1)
 )
 
-// thresholdControl moves a lane's threshold with its standing queueing delay:
+// Control moves a threshold with the standing queueing delay:
 // the least age of the longest waiting call over the window. Unlike the mean, it
 // is zero for a burst that the lane worked off within the window.
-type thresholdControl struct {
+type Control struct {
 	threshold lagoonbarrow.Threshold
 	step      lagoonbarrow.Threshold
 	headroom  float64
 
 	// arrived and freed count the present window.
-	arrived [priorities]uint32
+	arrived [Priorities]uint32
 	freed   int
 	// standing is the least sample of the present window; sampled tells whether there is one.
 	standing time.Duration
@@ -48,7 +53,7 @@
 	samples int
 
 	// arrivals and frees are smoothed counts per window.
-	arrivals   [priorities]float64
+	arrivals   [Priorities]float64
 	frees      float64
 	freesKnown bool
 	// busy is the time for which no sample found an idle slot.
@@ -57,8 +62,35 @@
 	lastStanding time.Duration
 }
 
-// sample notes the age of the longest waiting call, 0 for an empty queue.
-func (c *thresholdControl) sample(age time.Duration, idle bool) {
+// New returns a control that begins with a threshold.
+func New(first lagoonbarrow.Threshold) Control {
+	return Control{
+		threshold: first,
+	}
+}
+
+// Threshold returns the lowest priority to admit.
+func (c *Control) Threshold() lagoonbarrow.Threshold {
+	return c.threshold
+}
+
+// Standing returns the standing queueing delay of the last window.
+func (c *Control) Standing() time.Duration {
+	return c.lastStanding
+}
+
+// Arrived notes a call that asks for a slot, admitted or not.
+func (c *Control) Arrived(priority lagoonbarrow.Priority) {
+	c.arrived[priority]++
+}
+
+// Freed notes a call that has given its slot back.
+func (c *Control) Freed() {
+	c.freed++
+}
+
+// Sample notes the age of the longest waiting call, 0 for an empty queue.
+func (c *Control) Sample(age time.Duration, idle bool) {
 	if !c.sampled || age < c.standing {
 		c.standing = age
 	}
@@ -69,44 +101,46 @@
 	}
 }
 
-// windowEnd is what a window's end depends on.
-type windowEnd struct {
-	// scale converts the counts of the window to those of a window of regular length.
-	scale float64
-	// window is the regular length.
-	window time.Duration
-	target time.Duration
-	queue  *queue
-	// potential is the number of calls per window that full use of the lane's slots would end.
-	potential float64
-	// hold is the mean time that a call holds a slot.
-	hold time.Duration
-	// lowerBusy is set while work below the critical level is running or queued.
-	lowerBusy bool
+// Window is what a window's end depends on.
+type Window struct {
+	// Length is the regular length.
+	Length time.Duration
+	// Elapsed is how long the window has been.
+	Elapsed time.Duration
+	// Target is the standing delay that is allowed.
+	Target time.Duration
+	// AddQueued adds the number of queued calls of each priority.
+	AddQueued func(counts *[Priorities]float64)
+	// Potential is the number of calls per window that full use of the slots would end.
+	Potential float64
+	// Hold is the mean time that a call holds a slot.
+	Hold time.Duration
+	// LowerBusy is set while work below the critical level is running or queued.
+	LowerBusy bool
 }
 
-// close ends a window and moves the threshold.
-func (c *thresholdControl) close(end windowEnd) {
-	c.smooth(end.scale)
+// Close ends a window and moves the threshold.
+func (c *Control) Close(end Window) {
+	c.smooth(float64(end.Length) / float64(end.Elapsed))
 	c.lastStanding = c.standing
-	c.busy += end.window
+	c.busy += end.Length
 	if c.idle > 0 {
 		c.busy = 0
 	}
-	if c.sampled && c.standing > end.target {
+	if c.sampled && c.standing > end.Target {
 		c.rise(end)
 	} else {
 		c.fall(end)
 	}
-	if end.lowerBusy {
+	if end.LowerBusy {
 		c.threshold = min(c.threshold, lagoonbarrow.CriticalThreshold)
 	}
-	c.forgetWindow()
+	c.Forget()
 }
 
-// forgetWindow discards the counts of the present window.
-func (c *thresholdControl) forgetWindow() {
-	c.arrived = [priorities]uint32{}
+// Forget discards the counts of the present window.
+func (c *Control) Forget() {
+	c.arrived = [Priorities]uint32{}
 	c.freed = 0
 	c.standing = 0
 	c.sampled = false
@@ -114,7 +148,7 @@
 	c.idle = 0
 }
 
-func (c *thresholdControl) smooth(scale float64) {
+func (c *Control) smooth(scale float64) {
 	for priority, count := range c.arrived {
 		c.arrivals[priority] += arrivalsWeight * (float64(count)*scale - c.arrivals[priority])
 	}
@@ -129,7 +163,7 @@
 
 // rise sets the lowest threshold whose arrivals and queued calls are expected to
 // be worked off in the next window, but for a queue of the target delay.
-func (c *thresholdControl) rise(end windowEnd) {
+func (c *Control) rise(end Window) {
 	c.step = 0
 	c.headroom = 0
 	if !c.freesKnown {
@@ -137,8 +171,8 @@
 		return
 	}
 	demand := c.arrivals
-	end.queue.countsFrom(&demand)
-	room := c.capacity(end) * (1 + float64(end.target)/float64(end.window))
+	end.AddQueued(&demand)
+	room := c.capacity(end) * (1 + float64(end.Target)/float64(end.Length))
 	wanted := lowestWithin(&demand, room)
 	c.threshold = min(max(wanted, c.threshold+1), highestThreshold)
 }
@@ -147,20 +181,20 @@
 // for longer than a call takes end as many as they did; before, that number is
 // too low, because many of the calls have only begun. The potential is used
 // as long as the difference may be chance, because it varies less.
-func (c *thresholdControl) capacity(end windowEnd) float64 {
-	if c.busy <= end.window+end.hold {
-		return max(c.frees, end.potential)
+func (c *Control) capacity(end Window) float64 {
+	if c.busy <= end.Length+end.Hold {
+		return max(c.frees, end.Potential)
 	}
-	if math.Abs(c.frees-end.potential) <= 2*math.Sqrt(end.potential) {
-		return end.potential
+	if math.Abs(c.frees-end.Potential) <= 2*math.Sqrt(end.Potential) {
+		return end.Potential
 	}
 	return c.frees
 }
 
 // fall lowers the threshold by a growing step, as far as the arrivals that are
 // seen do not exceed the capacity and a growing headroom.
-func (c *thresholdControl) fall(end windowEnd) {
-	c.step = min(max(2*c.step, firstStep), lagoonbarrow.Threshold(priorities))
+func (c *Control) fall(end Window) {
+	c.step = min(max(2*c.step, firstStep), lagoonbarrow.Threshold(Priorities))
 	c.headroom = min(max(2*c.headroom, firstHeadroom), mostHeadroom)
 	if 2*c.idle > c.samples {
 		c.step = max(c.step, idleStep)
@@ -168,7 +202,7 @@
 	if c.threshold == 0 {
 		return
 	}
-	room := max(c.frees, end.potential) * (1 + c.headroom)
+	room := max(c.frees, end.Potential) * (1 + c.headroom)
 	wanted := lowestWithin(&c.arrivals, room)
 	if c.threshold > c.step {
 		wanted = max(wanted, c.threshold-c.step)
@@ -177,8 +211,8 @@
 }
 
 // lowestWithin returns the lowest threshold that admits no more than room calls.
-func lowestWithin(demand *[priorities]float64, room float64) lagoonbarrow.Threshold {
-	lowest := lagoonbarrow.Threshold(priorities)
+func lowestWithin(demand *[Priorities]float64, room float64) lagoonbarrow.Threshold {
+	lowest := lagoonbarrow.Threshold(Priorities)
 	for lowest > 0 && demand[lowest-1] <= room {
 		room -= demand[lowest-1]
 		lowest--
--- a/internal/request/entry/customer.go
+++ b/internal/request/entry/customer.go
@@ -48,7 +48,7 @@
 func NewCustomerListener(config CustomerConfig) *CustomerListener {
 	listener := &CustomerListener{
 		config:     config,
-		thresholds: newThresholds(time.Now),
+		thresholds: newThresholds(customerMemory, time.Now),
 		accepted:   config.Scope.Counter("requests-accepted"),
 		refused:    config.Scope.Counter("requests-refused"),
 	}
--- a/internal/request/entry/routed.go
+++ b/internal/request/entry/routed.go
@@ -47,10 +47,12 @@
 // RoutedListener serves the requests of the clients on this machine and of the
 // backend server beside this node, by the routes of the configuration.
 type RoutedListener struct {
-	config   RoutedConfig
-	server   *server
-	dropped  []string
-	inFlight atomic.Int64
+	config  RoutedConfig
+	server  *server
+	dropped []string
+	// thresholds are those that client requests have met below, by route.
+	thresholds *thresholds
+	inFlight   atomic.Int64
 	// draining asks clients to close their connections.
 	draining atomic.Bool
 	// closed refuses new requests.
@@ -62,7 +64,8 @@
 // NewRoutedListener returns a listener that is not started yet.
 func NewRoutedListener(config RoutedConfig) *RoutedListener {
 	listener := &RoutedListener{
-		config: config,
+		config:     config,
+		thresholds: newThresholds(routedMemory, time.Now),
 		dropped: []string{
 			strings.ToLower(config.Headers.RequestID),
 			strings.ToLower(config.Headers.Deadline),
@@ -114,40 +117,96 @@
 	if l.draining.Load() {
 		http.SetConnectionClose()
 	}
-	request, status, returnAfter := l.accept(http, received)
-	if request == nil {
-		l.refuse(http, status, returnAfter)
+	request, refused := l.accept(http, received)
+	if refused != nil {
+		l.refuse(http, refused.status, refused.returnAfter)
+		l.recordRefusal(http, refused)
 		return
 	}
 	parent := l.inherit(request)
+	if parent == nil && !l.thresholds.admits(thresholdKey(request), request.Priority) {
+		l.shed(http, request)
+		return
+	}
 	ctx, cancel := l.server.watcher.follow(http)
 	defer cancel()
 	answer := l.config.Forwarder.Do(ctx, request)
-	if parent != nil && (answer.Outcome != lagoonbarrow.OutcomeDone || answer.Failed()) {
-		parent.CallFailed()
-	}
+	l.learn(request, parent, answer)
 	l.write(http, request.ID, answer)
 	if answer.Outcome != lagoonbarrow.OutcomeDone {
 		l.record(http, request, answer)
 	}
 }
 
-// accept returns the request, or the status that refuses it and when to come back.
-func (l *RoutedListener) accept(http *fasthttp.RequestCtx, received time.Time) (*forward.Request, int, time.Duration) {
+// learn notes what an answer tells of the services below: the run that made the
+// call passes it on with its own answer, and client requests are measured by it.
+func (l *RoutedListener) learn(request *forward.Request, parent *execute.Run, answer *lagoonbarrow.Answer) {
+	if parent != nil {
+		parent.Met(answer.Threshold)
+		if answer.Outcome != lagoonbarrow.OutcomeDone || answer.Failed() {
+			parent.CallFailed()
+		}
+		return
+	}
+	if answer.Offered {
+		l.thresholds.observe(thresholdKey(request), min(answer.Threshold, highestThreshold(request.Route.Importance)))
+	}
+}
+
+func thresholdKey(request *forward.Request) classKey {
+	return classKey{
+		class: lagoonbarrow.ClassName(request.Route.Name),
+	}
+}
+
+// shed refuses a request whose calls would be refused below, before a server has
+// spent anything on it.
+func (l *RoutedListener) shed(http *fasthttp.RequestCtx, request *forward.Request) {
+	answer := lagoonbarrow.Refuse(lagoonbarrow.CallID(request.ID), lagoonbarrow.ReasonShed)
+	answer.Threshold = l.thresholds.level(thresholdKey(request))
+	answer.RetryAfter = forward.ReturnTime(request.Route.Objective)
+	l.write(http, request.ID, answer)
+	l.record(http, request, answer)
+}
+
+// refusal is why a request is not accepted.
+type refusal struct {
+	status int
+	// returnAfter is when the client should come back; 0 if it shouldn't.
+	returnAfter time.Duration
+	cause       error
+}
+
+// accept returns the request, or why it is refused.
+func (l *RoutedListener) accept(http *fasthttp.RequestCtx, received time.Time) (*forward.Request, *refusal) {
 	if l.closed.Load() {
-		return nil, fasthttp.StatusServiceUnavailable, stoppingReturn
+		return nil, &refusal{
+			status:      fasthttp.StatusServiceUnavailable,
+			returnAfter: stoppingReturn,
+			cause:       lagoonbarrow.ErrStopping,
+		}
 	}
 	if err := checkTarget(http); err != nil {
-		return nil, fasthttp.StatusBadRequest, 0
+		return nil, &refusal{
+			status: fasthttp.StatusBadRequest,
+			cause:  err,
+		}
 	}
 	path := pathWithQuery(http)
 	host := string(http.Host())
 	route, err := l.config.Routes.Find(host, path)
 	if errors.Is(err, lagoonbarrow.ErrUnavailable) {
-		return nil, fasthttp.StatusServiceUnavailable, unreadyReturn
+		return nil, &refusal{
+			status:      fasthttp.StatusServiceUnavailable,
+			returnAfter: unreadyReturn,
+			cause:       errors.Wrap(err, "entry: no configuration is in force"),
+		}
 	}
 	if err != nil {
-		return nil, fasthttp.StatusNotFound, 0
+		return nil, &refusal{
+			status: fasthttp.StatusNotFound,
+			cause:  err,
+		}
 	}
 	request := &forward.Request{
 		ID:       lagoonbarrow.RequestID(http.Request.Header.Peek(l.config.Headers.RequestID)),
@@ -161,7 +220,7 @@
 		Received: received,
 		Deadline: received.Add(min(route.Timeout, l.deadline(http))),
 	}
-	return request, 0, 0
+	return request, nil
 }
 
 // inherit gives a request of the backend server the importance and the deadline
@@ -244,12 +303,22 @@
 	return strconv.FormatFloat(duration.Seconds(), 'f', 3, 64)
 }
 
+func (l *RoutedListener) recordRefusal(http *fasthttp.RequestCtx, refused *refusal) {
+	l.config.Recorder.Record(event.RequestEnded, event.Fields{
+		Request: string(http.Request.Header.Peek(l.config.Headers.RequestID)),
+		Detail: "status=" + strconv.Itoa(refused.status) + " outcome=" + string(lagoonbarrow.OutcomeNotRun) +
+			" version=" + strconv.FormatUint(uint64(l.config.Routes.Version()), 10) + " retry-after=" + refused.returnAfter.String() +
+			" cause=" + refused.cause.Error(),
+	})
+}
+
 func (l *RoutedListener) record(http *fasthttp.RequestCtx, request *forward.Request, answer *lagoonbarrow.Answer) {
 	l.config.Recorder.Record(event.RequestEnded, event.Fields{
 		Request: string(request.ID),
 		Class:   string(request.Route.Name),
 		Detail: "status=" + strconv.Itoa(http.Response.StatusCode()) + " outcome=" + string(answer.Outcome) + " reason=" + string(answer.Reason) +
 			" version=" + strconv.FormatUint(uint64(request.Route.Version), 10) + " service=" + string(request.Service) +
+			" priority=" + strconv.Itoa(int(request.Priority)) + " threshold=" + strconv.Itoa(int(answer.Threshold)) +
 			" retry-after=" + answer.RetryAfter.String() + " took=" + time.Since(request.Received).Round(time.Millisecond).String(),
 	})
 }
--- a/internal/request/entry/threshold.go
+++ b/internal/request/entry/threshold.go
@@ -9,12 +9,6 @@
 )
 
 const (
-	// thresholdHold is how long a threshold stays after an answer. Without it the
-	// threshold sinks between the few answers of a class that is refused, and in
-	// a simulation 27 instead of 8 of 100 requests/s passed at a full overload.
-	thresholdHold = 250 * time.Millisecond
-	// thresholdHalfLife is how fast a threshold fades without answers.
-	thresholdHalfLife = time.Second
 	// thresholdGain is the weight of one answer's threshold, so that one
 	// straggling instance doesn't close the entry for all.
 	thresholdGain = 0.25
@@ -25,12 +19,38 @@
 	pruneInterval = 10 * time.Second
 )
 
+// memory is how long thresholds last without further answers.
+type memory struct {
+	// hold is how long a threshold stays after an answer. Without it the threshold
+	// sinks between the few answers of a class that is refused.
+	hold time.Duration
+	// halfLife is how fast it fades after that.
+	halfLife time.Duration
+}
+
+var (
+	// customerMemory suits gates that refuse below their threshold themselves: what
+	// the entry lets through too early is refused there. In a simulation with a hold
+	// of 0, 27 instead of 8 of 100 requests/s passed at a full overload.
+	customerMemory = memory{
+		hold:     250 * time.Millisecond,
+		halfLife: time.Second,
+	}
+	// routedMemory suits gates that refuse only what finds no slot: a threshold
+	// that lasts longer than the overload leaves slots idle.
+	routedMemory = memory{
+		hold:     100 * time.Millisecond,
+		halfLife: 500 * time.Millisecond,
+	}
+)
+
 // thresholds remembers the thresholds met below, by class. Its lock is never
 // held together with another.
 type thresholds struct {
 	mu      sync.Mutex
 	classes map[classKey]*classThreshold
 	pruned  time.Time
+	memory  memory
 	now     func() time.Time
 }
 
@@ -46,8 +66,9 @@
 	refused uint64
 }
 
-func newThresholds(now func() time.Time) *thresholds {
+func newThresholds(lasting memory, now func() time.Time) *thresholds {
 	return &thresholds{
+		memory:  lasting,
 		classes: map[classKey]*classThreshold{},
 		now:     now,
 	}
@@ -76,6 +97,18 @@
 	return current.refused%probeInterval == 0
 }
 
+// level returns the threshold of a class.
+func (t *thresholds) level(key classKey) lagoonbarrow.Threshold {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	current, known := t.classes[key]
+	if !known {
+		return 0
+	}
+	t.fade(current)
+	return lagoonbarrow.Threshold(math.Round(current.level))
+}
+
 // observe takes the threshold of an answer.
 func (t *thresholds) observe(key classKey, threshold lagoonbarrow.Threshold) {
 	t.mu.Lock()
@@ -92,7 +125,7 @@
 		t.classes[key] = current
 	}
 	t.fade(current)
-	current.faded = t.now().Add(thresholdHold)
+	current.faded = t.now().Add(t.memory.hold)
 	current.level += thresholdGain * (float64(threshold) - current.level)
 	if current.level < 1 {
 		delete(t.classes, key)
@@ -134,5 +167,5 @@
 		return
 	}
 	current.faded = now
-	current.level *= math.Exp2(-elapsed.Seconds() / thresholdHalfLife.Seconds())
+	current.level *= math.Exp2(-elapsed.Seconds() / t.memory.halfLife.Seconds())
 }
--- a/internal/request/entry/threshold_test.go
+++ b/internal/request/entry/threshold_test.go
@@ -23,7 +23,7 @@
 		t.Run(fmt.Sprint(perSecond), func(t *testing.T) {
 			random := rand.New(rand.NewPCG(1, 2))
 			now := time.Unix(0, 0)
-			remembered := newThresholds(func() time.Time { return now })
+			remembered := newThresholds(customerMemory, func() time.Time { return now })
 			// offer makes requests for a time and returns how many passed, and when
 			// the last one was refused.
 			offer := func(seconds int, threshold lagoonbarrow.Threshold) (passed int, refused time.Duration) {
@@ -59,7 +59,7 @@
 // against a threshold that takes 2 s or longer to fade without answers.
 func TestThresholdsFade(t *testing.T) {
 	now := time.Unix(0, 0)
-	remembered := newThresholds(func() time.Time { return now })
+	remembered := newThresholds(customerMemory, func() time.Time { return now })
 	for i := range 1000 {
 		key := classKey{
 			class: lagoonbarrow.ClassName(fmt.Sprint(i)),
--- a/internal/request/execute/handler.go
+++ b/internal/request/execute/handler.go
@@ -63,6 +63,11 @@
 	h.config.Heard(call.Configuration)
 	answer := h.handle(ctx, call)
 	answer.Load = h.config.Gate.Load()
+	if call.Nested {
+		// Those who send requests can't choose another service for their calls; for
+		// the requests themselves they choose among instances.
+		answer.Threshold = max(answer.Threshold, h.config.Gate.Threshold())
+	}
 	answer.Configuration = h.config.Version()
 	if answer.Outcome != lagoonbarrow.OutcomeDone {
 		h.config.Recorder.Record(event.CallNotServed, event.Fields{
@@ -98,6 +103,7 @@
 	defer h.running.remove(call.Request)
 	answer := h.config.Relay.Relay(ctx, call, deadline)
 	h.observe(call.Server, answer)
+	answer.Threshold = run.Threshold()
 	if answer.Outcome == lagoonbarrow.OutcomeDone && answer.Failed() && run.HasFailedCalls() {
 		// Running it again would fail at the same place, and cost the services below
 		// all of its calls once more.
--- a/internal/request/execute/handler_test.go
+++ b/internal/request/execute/handler_test.go
@@ -321,3 +321,38 @@
 		})
 	}
 }
+
+// Guards against senders of requests that don't hear of an overload below the
+// service that they send to, or that take a full instance for a full service.
+func TestAnswersCarryTheThresholdMetBelow(t *testing.T) {
+	const below = 70
+	rows := []struct {
+		name   string
+		nested bool
+		met    lagoonbarrow.Threshold
+		want   lagoonbarrow.Threshold
+	}{
+		{"no overload", false, 0, 0},
+		{"a call met one", false, below, below},
+		{"a call of a call met one", true, below, below},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			server := &fakeServer{
+				ready:  true,
+				answer: done,
+			}
+			handler, _ := newHandler(server)
+			server.working = func(*lagoonbarrow.Call) {
+				run, _ := handler.Parent("request.1")
+				run.Met(row.met)
+				run.Met(0)
+			}
+			call := newCall("request")
+			call.Nested = row.nested
+			if answer := handler.HandleCall(context.Background(), call); answer.Threshold != row.want {
+				t.Fatalf("threshold %d, want %d", answer.Threshold, row.want)
+			}
+		})
+	}
+}
--- a/internal/request/execute/running.go
+++ b/internal/request/execute/running.go
@@ -20,10 +20,28 @@
 	Deadline time.Time
 	// Repeat is set if a server was sent the call before.
 	Repeat bool
+	// threshold is the highest threshold that its calls have met.
+	threshold atomic.Uint32
 	// failedCalls is set if a call that the server made for it has failed.
 	failedCalls atomic.Bool
 }
 
+// Met notes the threshold that a call of this run has met.
+func (r *Run) Met(threshold lagoonbarrow.Threshold) {
+	met := uint32(threshold)
+	for {
+		highest := r.threshold.Load()
+		if met <= highest || r.threshold.CompareAndSwap(highest, met) {
+			return
+		}
+	}
+}
+
+// Threshold returns the highest threshold that the calls of this run have met.
+func (r *Run) Threshold() lagoonbarrow.Threshold {
+	return lagoonbarrow.Threshold(r.threshold.Load())
+}
+
 // CallFailed notes that a call made for this run has failed for good.
 func (r *Run) CallFailed() {
 	r.failedCalls.Store(true)
--- a/internal/request/forward/wait.go
+++ b/internal/request/forward/wait.go
@@ -1,6 +1,9 @@
 package forward
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 const (
 	// queuePart is the part of the latency objective that a client's request may wait
@@ -16,6 +19,11 @@
 	// back; leastReturn spares servers repeats within the length of one request.
 	leastReturn = 100 * time.Millisecond
 	mostReturn  = 2 * time.Second
+	// firstReturn and lastReturn are the parts of the latency objective after which
+	// clients return whose calls would be refused: spread, since many are refused at
+	// once, and early enough to be served within the objective.
+	firstReturn = 0.25
+	lastReturn  = 0.6
 	// returnSpread spreads the return of clients that were refused together.
 	returnSpread = 0.5
 )
@@ -34,6 +42,13 @@
 	return wait
 }
 
+// ReturnTime returns when a client should come back whose calls would be refused
+// below. It answers the load of a service below that has too few slots.
+func ReturnTime(objective time.Duration) time.Duration {
+	part := firstReturn + (lastReturn-firstReturn)*rand.Float64()
+	return max(leastReturn, time.Duration(part*float64(objective)))
+}
+
 // returnTime returns when a refused client should come back: when a slot can be
 // expected, spread by a random number from 0 to 1.
 func returnTime(expected time.Duration, random float64) time.Duration {
