Keep requests from servers that give no answers, and from failing ones

A server that fails 45 % of its requests cost only 1.8 times as much as a good one, less than another zone, so the callers of its zone stayed.

Ruled out: dialling (connections were accepted), the heartbeats (none while a server is down), the limit at the slots (the requests ended at once).

Change: after ten requests in a row without an answer, the node beside the server takes it out until its next heartbeat, and then sends a probe every 250 ms until one is answered. Placement adds a cost for failures, so that an instance that fails a quarter of its requests costs more than another zone; a single failure doesn't. Weighed: counting failures (status 500) of the server too; a run that fails with a call below can be told from these by a hint only, and an overload below would then close the services above.

Tests: TestServerWithoutAnswersGetsProbesOnly, TestServerThatAnswersAgainGetsWork, TestLeavesAZoneThatServesBadly/failing_half_of_the_requests (fails on the old code), TestStaysForASingleFailure.

--- a/internal/process/placement/chooser.go
+++ b/internal/process/placement/chooser.go
@@ -21,6 +21,10 @@
 	// busyCost is the added cost at a utilisation of 1 above busyFrom. It exceeds
 	// zoneCost when the slots are all in use.
 	busyCost = 3.5
+	// failureCost is what an instance costs that fails all requests, beside the time
+	// of repeating them: its callers lose the request. One that fails a quarter of
+	// them costs more than another zone, one that lost a single answer doesn't.
+	failureCost = 5.0
 	// sampleNear and sampleFar bound the instances that are compared. Comparing all
 	// of a large service would send many callers to the same one at once.
 	sampleNear = 4
@@ -151,6 +155,7 @@
 		cost *= 1 + busyCost*busy
 	}
 	cost /= stats.success(now)
+	cost += failureCost * (1 - stats.success(now))
 	if instance.Zone != c.config.Zone {
 		cost += zoneCost
 	}
--- a/internal/process/placement/chooser_test.go
+++ b/internal/process/placement/chooser_test.go
@@ -119,6 +119,14 @@
 				})
 			}
 		}},
+		{"failing half of the requests", func(b *bench) {
+			for i := range 20 {
+				b.answer(0, lagoonbarrow.Observation{
+					Latency: time.Millisecond,
+					Failed:  i%2 == 1,
+				})
+			}
+		}},
 		{"silent", func(b *bench) {
 			b.chooser.Started(b.instances[0].ID, "route")
 			b.now = b.now.Add(2 * silentAfter)
@@ -182,3 +190,17 @@
 		t.Fatalf("%d routes are kept", kept)
 	}
 }
+
+// Guards against requests that leave their zone for a single lost answer.
+func TestStaysForASingleFailure(t *testing.T) {
+	b := newBench()
+	for i := range 20 {
+		b.answer(0, lagoonbarrow.Observation{
+			Latency: time.Millisecond,
+			Failed:  i == 19,
+		})
+	}
+	if count := b.ownZone(t); count != 100 {
+		t.Fatalf("%d of 100 choices in the own zone", count)
+	}
+}
--- a/internal/process/registration/server.go
+++ b/internal/process/registration/server.go
@@ -51,8 +51,8 @@
 	// left is set when the last server has said that it ends, or was found to be
 	// replaced by another one.
 	left bool
-	// down is set when no connection to the server could be opened, until its next
-	// heartbeat.
+	// down is set when no connection to the server could be opened, or it gave no
+	// answers, until its next heartbeat.
 	down bool
 	// ended holds the last ids that have left, so that late heartbeats of theirs don't
 	// bring them back.
@@ -163,8 +163,8 @@
 	r.publish("another server answers")
 }
 
-// Unreachable notes that no connection to the server of this id could be opened.
-// It gets no work until its next heartbeat.
+// Unreachable notes that the server of this id can't be reached or gives no
+// answers. It gets no work until its next heartbeat.
 func (r *Registration) Unreachable(id lagoonbarrow.ServerID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -172,7 +172,7 @@
 		return
 	}
 	r.down = true
-	r.publish("no connection")
+	r.publish("unreachable")
 }
 
 func (r *Registration) end(id lagoonbarrow.ServerID) {
--- a/internal/request/execute/handler.go
+++ b/internal/request/execute/handler.go
@@ -28,7 +28,8 @@
 	Current func() (registration.Server, bool)
 	// Replaced is told that another server answers at the server's address.
 	Replaced func(id lagoonbarrow.ServerID)
-	// Unreachable is told that no connection to the server could be opened.
+	// Unreachable is told that no connection to the server could be opened, or that
+	// it gives no answers.
 	Unreachable func(id lagoonbarrow.ServerID)
 	// Version returns the version of the configuration in force.
 	Version func() lagoonbarrow.ConfigurationVersion
@@ -45,6 +46,7 @@
 type Handler struct {
 	config  Config
 	running *running
+	breaker breaker
 	closed  atomic.Bool
 }
 
@@ -64,8 +66,8 @@
 	answer := h.handle(ctx, call)
 	answer.Load = h.config.Gate.Load()
 	if call.Nested {
-		// Those who send requests can't choose another service for their calls; for
-		// the requests themselves they choose among instances.
+		// A client's request that finds no slot here may find one at another instance;
+		// its sender has no use for this instance's threshold.
 		answer.Threshold = max(answer.Threshold, h.config.Gate.Threshold())
 	}
 	answer.Configuration = h.config.Version()
@@ -96,13 +98,16 @@
 	if refusal := h.check(call); refusal != nil {
 		return refusal
 	}
+	if !h.breaker.allows(call.Server, time.Now()) {
+		return lagoonbarrow.Refuse(call.ID, lagoonbarrow.ReasonNotReady)
+	}
 	if !h.affordable(call) {
 		return lagoonbarrow.Refuse(call.ID, lagoonbarrow.ReasonExhausted)
 	}
 	run := h.running.add(call, deadline)
 	defer h.running.remove(call.Request)
 	answer := h.config.Relay.Relay(ctx, call, deadline)
-	h.observe(call.Server, answer)
+	h.observe(call, answer)
 	answer.Threshold = run.Threshold()
 	if answer.Outcome == lagoonbarrow.OutcomeDone && answer.Failed() && run.HasFailedCalls() {
 		// Running it again would fail at the same place, and cost the services below
@@ -123,17 +128,33 @@
 	return true
 }
 
-// observe notes what a refusal tells of the server.
-func (h *Handler) observe(server lagoonbarrow.ServerID, answer *lagoonbarrow.Answer) {
+// observe notes what an answer tells of the server.
+func (h *Handler) observe(call *lagoonbarrow.Call, answer *lagoonbarrow.Answer) {
 	switch {
 	case answer.Outcome != lagoonbarrow.OutcomeNotRun:
 	case answer.Status == statusMisdirected:
-		h.config.Replaced(server)
+		h.config.Replaced(call.Server)
 	case !answer.Offered && answer.Reason == lagoonbarrow.ReasonUnreachable:
-		h.config.Unreachable(server)
+		h.config.Unreachable(call.Server)
+	}
+	opened, closed := h.breaker.note(call.Server, answer, time.Now())
+	if opened {
+		// A server that is down says when it is back by its next heartbeat.
+		h.config.Unreachable(call.Server)
+		h.recordServer(event.BackendDown, call, answer)
+	}
+	if closed {
+		h.recordServer(event.BackendUp, call, answer)
 	}
 }
 
+func (h *Handler) recordServer(kind event.Kind, call *lagoonbarrow.Call, answer *lagoonbarrow.Answer) {
+	h.config.Recorder.Record(kind, event.Fields{
+		Request: string(call.Request),
+		Detail:  "server=" + string(call.Server) + " outcome=" + string(answer.Outcome) + " reason=" + string(answer.Reason),
+	})
+}
+
 // statusMisdirected is the status of a server that is not the expected one.
 const statusMisdirected = 421
 
--- a/internal/request/execute/handler_test.go
+++ b/internal/request/execute/handler_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"lagoonbarrow"
@@ -356,3 +357,88 @@
 		})
 	}
 }
+
+// Guards against a server that is down, still accepts connections and fails all
+// requests at once: it looks idle, and callers send it more than the others.
+func TestServerWithoutAnswersGetsProbesOnly(t *testing.T) {
+	broken := lagoonbarrow.Answer{
+		Outcome: lagoonbarrow.OutcomeUnknown,
+		Reason:  lagoonbarrow.ReasonBackend,
+		Offered: true,
+	}
+	hung := broken
+	hung.Reason = lagoonbarrow.ReasonDeadline
+	left := broken
+	left.Reason = lagoonbarrow.ReasonCancelled
+	const calls = 10 * openAfter
+	rows := []struct {
+		name string
+		// answers are given again and again.
+		answers []lagoonbarrow.Answer
+		most    int
+	}{
+		{"resets all", []lagoonbarrow.Answer{broken}, openAfter},
+		{"hangs", []lagoonbarrow.Answer{hung}, openAfter},
+		{"loses every second answer", []lagoonbarrow.Answer{broken, done}, calls},
+		{"clients leave", []lagoonbarrow.Answer{left}, calls},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				server := &fakeServer{
+					ready: true,
+				}
+				handler, _ := newHandler(server)
+				for i := range calls {
+					server.answer = row.answers[i%len(row.answers)]
+					answer := handler.HandleCall(context.Background(), newCall("request"))
+					if server.count() == openAfter && i > openAfter && answer.Outcome != lagoonbarrow.OutcomeNotRun {
+						t.Fatalf("answer %+v", answer)
+					}
+				}
+				if got := server.count(); got != row.most {
+					t.Fatalf("%d of %d calls reached the server, want %d", got, calls, row.most)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a server that gets no work although it answers again, or that is
+// kept from work because of the one before it.
+func TestServerThatAnswersAgainGetsWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := &fakeServer{
+			ready: true,
+			answer: lagoonbarrow.Answer{
+				Outcome: lagoonbarrow.OutcomeUnknown,
+				Reason:  lagoonbarrow.ReasonBackend,
+				Offered: true,
+			},
+		}
+		handler, _ := newHandler(server)
+		for range openAfter {
+			handler.HandleCall(context.Background(), newCall("request"))
+		}
+		server.answer = done
+		if answer := handler.HandleCall(context.Background(), newCall("request")); answer.Outcome != lagoonbarrow.OutcomeNotRun {
+			t.Fatalf("before the time of a probe: %+v", answer)
+		}
+		time.Sleep(probeInterval)
+		for range 2 {
+			if answer := handler.HandleCall(context.Background(), newCall("request")); answer.Outcome != lagoonbarrow.OutcomeDone {
+				t.Fatalf("after an answer: %+v", answer)
+			}
+		}
+	})
+	var b breaker
+	for range openAfter {
+		b.note("old", &lagoonbarrow.Answer{
+			Reason:  lagoonbarrow.ReasonBackend,
+			Offered: true,
+		}, time.Time{})
+	}
+	if b.allows("old", time.Time{}) || !b.allows("new", time.Time{}) {
+		t.Error("the breaker of one server holds for the next")
+	}
+}
