Let one request try an instance after its avoidance

Ruled out: a crash of the server beside a living node (the node's log ends at 0.85 s; its peers' dials time out).

Change: the first request after an avoidance tries the instance, and others go on to avoid it until that one is answered, or the next avoidance ends. TestReturnsAfterTheTrouble now has the trying request answered before all requests return; that the instance is tried at once is checked too.

Test: TestOneRequestTriesAnInstanceAfterItsAvoidance (100 requests at once on the old code).

--- a/internal/process/placement/chooser.go
+++ b/internal/process/placement/chooser.go
@@ -99,6 +99,7 @@
 		Full:     c.entry(best.ID).utilisation(best, now) >= 1,
 		Last:     left == 1,
 	}
+	c.entry(best.ID).try(now)
 	return choice, nil
 }
 
--- a/internal/process/placement/chooser_test.go
+++ b/internal/process/placement/chooser_test.go
@@ -157,6 +157,13 @@
 	}
 	b.chooser.Unreachable(b.instances[0].ID)
 	b.now = b.now.Add(5 * memoryHalfLife)
+	if zone := b.pick(t).Instance.Zone; zone != "zone-0" {
+		t.Fatalf("the instance isn't tried, but one in %s", zone)
+	}
+	b.answer(0, lagoonbarrow.Observation{
+		Latency: time.Millisecond,
+		HasLoad: true,
+	})
 	if count := b.ownZone(t); count != 100 {
 		t.Fatalf("%d of 100 choices in the own zone", count)
 	}
@@ -204,3 +211,29 @@
 		t.Fatalf("%d of 100 choices in the own zone", count)
 	}
 }
+
+// Guards against many requests that wait for a connection to a lost machine each
+// time that its avoidance ends.
+func TestOneRequestTriesAnInstanceAfterItsAvoidance(t *testing.T) {
+	b := newBench()
+	b.chooser.Unreachable(b.instances[0].ID)
+	for range 3 {
+		b.now = b.now.Add(lastAvoidance + time.Millisecond)
+		if count := b.ownZone(t); count != 1 {
+			t.Fatalf("%d requests try the instance at once, want 1", count)
+		}
+		b.chooser.Unreachable(b.instances[0].ID)
+	}
+	b.now = b.now.Add(firstAvoidance)
+	if count := b.ownZone(t); count != 0 {
+		t.Fatalf("%d requests try the instance before its avoidance has grown", count)
+	}
+	b.now = b.now.Add(lastAvoidance)
+	b.pick(t)
+	b.answer(0, lagoonbarrow.Observation{
+		HasLoad: true,
+	})
+	if count := b.ownZone(t); count != 100 {
+		t.Fatalf("%d of 100 requests go to an instance that has answered", count)
+	}
+}
--- a/internal/process/placement/entry.go
+++ b/internal/process/placement/entry.go
@@ -81,6 +81,8 @@
 
 	avoidance    time.Duration
 	avoidedUntil time.Time
+	// onTrial is set between the first request after an avoidance and its end.
+	onTrial bool
 }
 
 func (e *entry) begin(now time.Time) {
@@ -100,6 +102,7 @@
 		e.quietSince = now
 		e.avoidance = 0
 		e.avoidedUntil = time.Time{}
+		e.onTrial = false
 	}
 	result := 0.0
 	if observed.Failed {
@@ -143,13 +146,25 @@
 // avoid keeps requests away for a time that doubles with each failure after the
 // last such time had passed.
 func (e *entry) avoid(now time.Time) {
-	if now.Before(e.avoidedUntil) {
+	if now.Before(e.avoidedUntil) && !e.onTrial {
 		return
 	}
+	e.onTrial = false
 	e.avoidance = min(max(2*e.avoidance, firstAvoidance), lastAvoidance)
 	e.avoidedUntil = now.Add(e.avoidance)
 }
 
+// try notes that the instance was chosen. After an avoidance one request tries it,
+// while others go on to avoid it: each would wait as long as the first if the
+// machine is lost.
+func (e *entry) try(now time.Time) {
+	if e.avoidance == 0 || e.avoided(now) {
+		return
+	}
+	e.onTrial = true
+	e.avoidedUntil = now.Add(e.avoidance)
+}
+
 func (e *entry) avoided(now time.Time) bool {
 	return now.Before(e.avoidedUntil)
 }
