Remove the rows of nodes that are gone for good, and allow a stop before the start

Besides, a SIGTERM in the first moments of a process could stop parts that had not been started and end it with a nil call.

Change: each node asks the one after it in the order of the ids' hashes once a minute who it is, and removes its row after ten failures in a row, if the row has not changed. A node that is alive writes its row again (as it did before). Weighed: a removal by the store's readers (their cost grows with the fleet) and leases (the store has no time limits; renewals are writes).

--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -25,6 +25,8 @@
 
 	mu      sync.Mutex
 	entries map[lagoonbarrow.InstanceID]lagoonbarrow.Instance
+	// versions holds the versions of the other instances' rows.
+	versions map[lagoonbarrow.InstanceID]lagoonbarrow.RowVersion
 	// ready holds the ready instances by service; a change replaces it.
 	ready atomic.Pointer[map[lagoonbarrow.ServiceName][]lagoonbarrow.Instance]
 	known atomic.Bool
@@ -33,8 +35,9 @@
 // New returns an empty directory.
 func New(config Config) *Directory {
 	directory := &Directory{
-		config:  config,
-		entries: map[lagoonbarrow.InstanceID]lagoonbarrow.Instance{},
+		config:   config,
+		entries:  map[lagoonbarrow.InstanceID]lagoonbarrow.Instance{},
+		versions: map[lagoonbarrow.InstanceID]lagoonbarrow.RowVersion{},
 	}
 	directory.ready.Store(&map[lagoonbarrow.ServiceName][]lagoonbarrow.Instance{})
 	return directory
@@ -57,6 +60,7 @@
 	own := lagoonbarrow.RowVersion(0)
 	before := d.entries
 	d.entries = map[lagoonbarrow.InstanceID]lagoonbarrow.Instance{}
+	d.versions = map[lagoonbarrow.InstanceID]lagoonbarrow.RowVersion{}
 	for _, row := range rows {
 		if row.Key == string(d.config.Self) {
 			own = row.Version
@@ -91,6 +95,7 @@
 		d.config.OwnRow(change.Row.Version)
 	case change.Deleted:
 		delete(d.entries, id)
+		delete(d.versions, id)
 	default:
 		d.put(change.Row)
 	}
@@ -104,6 +109,14 @@
 		return
 	}
 	d.entries[instance.ID] = instance
+	d.versions[instance.ID] = row.Version
+}
+
+// Version returns the version of another instance's row, or 0.
+func (d *Directory) Version(id lagoonbarrow.InstanceID) lagoonbarrow.RowVersion {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.versions[id]
 }
 
 // SetSelf takes this node's own instance, which is known here before its row is.
--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -41,25 +41,28 @@
 	config Config
 	// refresh asks for a new reading of all rows.
 	refresh chan struct{}
-	cancel  context.CancelFunc
+	// ctx ends at Stop, which may come before Start.
+	ctx    context.Context
+	cancel context.CancelFunc
 	// failing is set between a failed and the next successful call.
 	failing bool
 }
 
 // New returns a follower that is not started yet.
 func New(config Config) *Follower {
+	ctx, cancel := context.WithCancel(context.Background())
 	return &Follower{
 		config:  config,
 		refresh: make(chan struct{}, 1),
+		ctx:     ctx,
+		cancel:  cancel,
 	}
 }
 
 // Start begins to follow.
 func (f *Follower) Start() {
-	ctx, cancel := context.WithCancel(context.Background())
-	f.cancel = cancel
-	go f.run(ctx)
-	go f.refreshes(ctx)
+	go f.run(f.ctx)
+	go f.refreshes(f.ctx)
 }
 
 // Stop ends following. A call under way ends with its time limit.
--- /dev/null
+++ b/internal/process/registration/remover.go
@@ -0,0 +1,183 @@
+package registration
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"lagoonbarrow"
+	"lagoonbarrow/internal/process/backoff"
+)
+
+const (
+	// presenceInterval is the time between two looks for the next node.
+	presenceInterval = time.Minute
+	// presenceTimeout bounds one look.
+	presenceTimeout = 2 * time.Second
+	// removeAfter is the number of looks in a row that must fail before a row is
+	// removed. Restarts and short cuts end well before.
+	removeAfter = 10
+	// kindPresence asks a node who it is.
+	kindPresence = "presence"
+)
+
+// Member is a node whose row is in the store.
+type Member struct {
+	ID   lagoonbarrow.InstanceID
+	Peer lagoonbarrow.Address
+	// Version is the version of the node's row.
+	Version lagoonbarrow.RowVersion
+}
+
+// Sender sends control messages to nodes.
+type Sender interface {
+	Send(ctx context.Context, to lagoonbarrow.Address, message lagoonbarrow.Message) (lagoonbarrow.Message, error)
+}
+
+// RemoverConfig configures a Remover.
+type RemoverConfig struct {
+	Self  lagoonbarrow.InstanceID
+	Store lagoonbarrow.RowStore
+	Table string
+	// Members returns all nodes, this one included.
+	Members func() []Member
+	Sender  Sender
+	Logger  hclog.Logger
+}
+
+// Remover removes the rows of nodes that are gone for good. Each node looks for the
+// one after it in the order of the ids' hashes, so that the cost of a node doesn't
+// grow with their number. A node that is alive writes its row again if it was
+// removed because of a cut.
+type Remover struct {
+	config RemoverConfig
+	// ctx ends at Stop, which may come before Start.
+	ctx    context.Context
+	cancel context.CancelFunc
+	// target is the node that is looked for, and missed the failed looks in a row.
+	target lagoonbarrow.InstanceID
+	missed int
+}
+
+// NewRemover returns a remover that is not started yet.
+func NewRemover(config RemoverConfig) *Remover {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Remover{
+		config: config,
+		ctx:    ctx,
+		cancel: cancel,
+	}
+}
+
+// Start begins to look for the next node.
+func (r *Remover) Start() {
+	go r.run(r.ctx)
+}
+
+// Stop ends looking.
+func (r *Remover) Stop() {
+	r.cancel()
+}
+
+func (r *Remover) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		backoff.Pause(ctx, presenceInterval)
+		r.look(ctx)
+	}
+}
+
+// look looks for the next node once.
+func (r *Remover) look(ctx context.Context) {
+	next, found := successor(r.config.Self, r.config.Members())
+	if !found || ctx.Err() != nil {
+		return
+	}
+	if next.ID != r.target {
+		r.target = next.ID
+		r.missed = 0
+	}
+	err := r.reach(ctx, next)
+	if err == nil {
+		r.missed = 0
+		return
+	}
+	r.missed++
+	r.config.Logger.Info("a node can't be reached", "node", next.ID, "address", next.Peer, "missed", r.missed, "error", err)
+	if r.missed >= removeAfter {
+		r.remove(ctx, next)
+	}
+}
+
+// reach asks the node at the member's address who it is. It returns ErrNotFound if
+// another node has the address now.
+func (r *Remover) reach(ctx context.Context, member Member) error {
+	ctx, cancel := context.WithTimeout(ctx, presenceTimeout)
+	defer cancel()
+	reply, err := r.config.Sender.Send(ctx, member.Peer, lagoonbarrow.Message{
+		Kind: kindPresence,
+	})
+	if err != nil {
+		return errors.Wrap(err, "registration: look for a node")
+	}
+	if string(reply.Body) != string(member.ID) {
+		return errors.Wrapf(lagoonbarrow.ErrNotFound, "registration: node %q has the address", reply.Body)
+	}
+	return nil
+}
+
+func (r *Remover) remove(ctx context.Context, member Member) {
+	_, err := r.config.Store.Put(ctx, lagoonbarrow.Write{
+		Table:    r.config.Table,
+		Key:      string(member.ID),
+		Expected: member.Version,
+		Delete:   true,
+	})
+	if err != nil {
+		// The row may have changed meanwhile; it is looked at again with the next version.
+		r.config.Logger.Warn("removing the row of a node failed", "node", member.ID, "version", member.Version, "error", err)
+		return
+	}
+	r.missed = 0
+	r.config.Logger.Info("removed the row of a node that can't be reached", "node", member.ID, "version", member.Version)
+}
+
+// successor returns the member after this node in the order of the ids' hashes.
+func successor(self lagoonbarrow.InstanceID, members []Member) (next Member, found bool) {
+	others := slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return m.ID == self })
+	if len(others) == 0 {
+		return Member{}, false
+	}
+	from := xxhash.Sum64String(string(self))
+	// The distance wraps around, so that the last node looks for the first.
+	distance := func(m Member) uint64 { return xxhash.Sum64String(string(m.ID)) - from }
+	return slices.MinFunc(others, func(a, b Member) int {
+		if distance(a) < distance(b) {
+			return -1
+		}
+		return 1
+	}), true
+}
+
+// Presence answers nodes that look for this one.
+type Presence struct {
+	Self lagoonbarrow.InstanceID
+}
+
+var _ lagoonbarrow.MessageHandler = (*Presence)(nil)
+
+// Kinds returns the kinds of messages that the handler serves.
+func (p *Presence) Kinds() []string {
+	return []string{kindPresence}
+}
+
+// HandleMessage says who this node is.
+func (p *Presence) HandleMessage(context.Context, lagoonbarrow.InstanceID, lagoonbarrow.Message) (lagoonbarrow.Message, error) {
+	return lagoonbarrow.Message{
+		Kind: kindPresence,
+		Body: []byte(p.Self),
+	}, nil
+}
--- a/internal/process/registration/row.go
+++ b/internal/process/registration/row.go
@@ -25,6 +25,8 @@
 type RowKeeper struct {
 	config RowConfig
 	wake   chan struct{}
+	// ctx ends at Stop, which may come before Start.
+	ctx    context.Context
 	cancel context.CancelFunc
 
 	mu     sync.Mutex
@@ -38,17 +40,18 @@
 
 // NewRowKeeper returns a keeper that writes nothing before Want.
 func NewRowKeeper(config RowConfig) *RowKeeper {
+	ctx, cancel := context.WithCancel(context.Background())
 	return &RowKeeper{
 		config: config,
 		wake:   make(chan struct{}, 1),
+		ctx:    ctx,
+		cancel: cancel,
 	}
 }
 
 // Start begins to write.
 func (k *RowKeeper) Start() {
-	ctx, cancel := context.WithCancel(context.Background())
-	k.cancel = cancel
-	go k.run(ctx)
+	go k.run(k.ctx)
 }
 
 // Stop ends writing; a write under way ends with its time limit.
--- a/internal/process/sidecar/reload_test.go
+++ b/internal/process/sidecar/reload_test.go
@@ -59,3 +59,21 @@
 		t.Error("a stopped node took a call")
 	}
 }
+
+// Guards against a process that fails when it is stopped before it has started.
+func TestStopBeforeTheStart(t *testing.T) {
+	f := newFleet(t, 0, nil)
+	settings := f.members[0].sidecar.settings
+	process, err := New(Config{
+		Settings:         settings,
+		Store:            f.members[0].sidecar.config.Store,
+		Configuration:    f.members[0].sidecar.config.Configuration,
+		Headers:          f.members[0].sidecar.config.Headers,
+		HeartbeatHandler: f.members[0].sidecar.config.HeartbeatHandler,
+		Logger:           f.members[0].sidecar.config.Logger,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	process.close()
+}
--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -43,6 +43,7 @@
 		return err
 	}
 	s.row.Start()
+	s.remover.Start()
 	for _, part := range s.followers {
 		part.Start()
 	}
@@ -182,6 +183,7 @@
 		part.Stop()
 	}
 	s.row.Stop()
+	s.remover.Stop()
 	for _, listener := range []*control{s.heartbeats, s.ready, s.scrape} {
 		s.report("listener", listener.stop(ctx))
 	}
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -88,6 +88,7 @@
 	routes       *routing.Registry
 	directory    *directory.Directory
 	row          *registration.RowKeeper
+	remover      *registration.Remover
 	registration *registration.Registration
 	gate         *slots.Gate
 	chooser      *placement.Chooser
@@ -182,6 +183,14 @@
 		},
 		Instances: s.siblings,
 	})
+	s.remover = registration.NewRemover(registration.RemoverConfig{
+		Self:    s.settings.Instance,
+		Store:   s.config.Store,
+		Table:   directory.Table,
+		Members: s.rowMembers,
+		Sender:  lateTransport{sidecar: s},
+		Logger:  s.config.Logger.Named("remover"),
+	})
 	s.tables = feed.NewCache()
 	source := feed.New(feed.Config{
 		Self:    s.settings.Instance,
@@ -283,10 +292,16 @@
 	changes := &feed.Handler{
 		Cache: s.tables,
 	}
+	presence := &registration.Presence{
+		Self: s.settings.Instance,
+	}
 	handlers := map[string]lagoonbarrow.MessageHandler{}
 	for _, kind := range changes.Kinds() {
 		handlers[kind] = changes
 	}
+	for _, kind := range presence.Kinds() {
+		handlers[kind] = presence
+	}
 	return handlers
 }
 
@@ -434,6 +449,19 @@
 	return members
 }
 
+// rowMembers returns the nodes with their rows' versions.
+func (s *Sidecar) rowMembers() []registration.Member {
+	var members []registration.Member
+	for _, instance := range s.directory.All() {
+		members = append(members, registration.Member{
+			ID:      instance.ID,
+			Peer:    instance.Peer,
+			Version: s.directory.Version(instance.ID),
+		})
+	}
+	return members
+}
+
 // lateTransport refuses calls until the key of the nodes is known.
 type lateTransport struct {
 	sidecar *Sidecar
