Run background loops in one place

The follower of a table, the keeper of a row and the remover of rows each made, kept and ended a context in the same lines; one small type does it now. No change of behaviour; their tests and the sidecar's pass.

--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/process/background"
 	"lagoonbarrow/internal/process/backoff"
 )
 
@@ -41,33 +42,29 @@
 	config Config
 	// refresh asks for a new reading of all rows.
 	refresh chan struct{}
-	// ctx ends at Stop, which may come before Start.
-	ctx    context.Context
-	cancel context.CancelFunc
+	task    background.Task
 	// failing is set between a failed and the next successful call.
 	failing bool
 }
 
 // New returns a follower that is not started yet.
 func New(config Config) *Follower {
-	ctx, cancel := context.WithCancel(context.Background())
 	return &Follower{
 		config:  config,
 		refresh: make(chan struct{}, 1),
-		ctx:     ctx,
-		cancel:  cancel,
+		task:    background.NewTask(),
 	}
 }
 
 // Start begins to follow.
 func (f *Follower) Start() {
-	go f.run(f.ctx)
-	go f.refreshes(f.ctx)
+	f.task.Go(f.run)
+	f.task.Go(f.refreshes)
 }
 
 // Stop ends following. A call under way ends with its time limit.
 func (f *Follower) Stop() {
-	f.cancel()
+	f.task.Stop()
 }
 
 // Refresh reads all rows soon, beside the wait for changes. It is for nodes that
--- a/internal/process/registration/remover.go
+++ b/internal/process/registration/remover.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/process/background"
 	"lagoonbarrow/internal/process/backoff"
 )
 
@@ -55,9 +56,7 @@
 // removed because of a cut.
 type Remover struct {
 	config RemoverConfig
-	// ctx ends at Stop, which may come before Start.
-	ctx    context.Context
-	cancel context.CancelFunc
+	task   background.Task
 	// target is the node that is looked for, and missed the failed looks in a row.
 	target lagoonbarrow.InstanceID
 	missed int
@@ -65,22 +64,20 @@
 
 // NewRemover returns a remover that is not started yet.
 func NewRemover(config RemoverConfig) *Remover {
-	ctx, cancel := context.WithCancel(context.Background())
 	return &Remover{
 		config: config,
-		ctx:    ctx,
-		cancel: cancel,
+		task:   background.NewTask(),
 	}
 }
 
 // Start begins to look for the next node.
 func (r *Remover) Start() {
-	go r.run(r.ctx)
+	r.task.Go(r.run)
 }
 
 // Stop ends looking.
 func (r *Remover) Stop() {
-	r.cancel()
+	r.task.Stop()
 }
 
 func (r *Remover) run(ctx context.Context) {
--- a/internal/process/registration/row.go
+++ b/internal/process/registration/row.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/process/background"
 	"lagoonbarrow/internal/process/backoff"
 )
 
@@ -25,9 +26,7 @@
 type RowKeeper struct {
 	config RowConfig
 	wake   chan struct{}
-	// ctx ends at Stop, which may come before Start.
-	ctx    context.Context
-	cancel context.CancelFunc
+	task   background.Task
 
 	mu     sync.Mutex
 	wanted []byte
@@ -40,23 +39,21 @@
 
 // NewRowKeeper returns a keeper that writes nothing before Want.
 func NewRowKeeper(config RowConfig) *RowKeeper {
-	ctx, cancel := context.WithCancel(context.Background())
 	return &RowKeeper{
 		config: config,
 		wake:   make(chan struct{}, 1),
-		ctx:    ctx,
-		cancel: cancel,
+		task:   background.NewTask(),
 	}
 }
 
 // Start begins to write.
 func (k *RowKeeper) Start() {
-	go k.run(k.ctx)
+	k.task.Go(k.run)
 }
 
 // Stop ends writing; a write under way ends with its time limit.
 func (k *RowKeeper) Stop() {
-	k.cancel()
+	k.task.Stop()
 }
 
 // Want sets the value that the row shall have.
