Disturb the links of the soak's processes by loopback proxies

The soak had signals and a misbehaving store, but no faults of connections. Its draws are its own, so the kept seeds repeat their faults. Links to servers don't delay: requests would arrive there after their leaving was acknowledged, which the check rightly takes for a fault.

Links between nodes are not disturbed: nodes call each other at the addresses that they listen on.

--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -28,6 +28,7 @@
 	binary string
 	store  *standin.Store
 	nodes  []*node
+	seed   uint64
 	random *rand.Rand
 
 	mu      sync.Mutex
@@ -40,6 +41,9 @@
 	ip      string
 	dir     string
 	server  *standin.Server
+	// toServer and toStore are the links of the process to its server and the store.
+	toServer *link
+	toStore  *link
 	// stopped ends the heartbeats.
 	stopped chan struct{}
 
@@ -73,6 +77,7 @@
 		t:      t,
 		binary: binary,
 		store:  store,
+		seed:   seed,
 		random: rand.New(rand.NewPCG(seed, seed)),
 	}
 	f.configure()
@@ -92,11 +97,12 @@
 	var mu sync.Mutex
 	kinds := []standin.Spoiling{standin.SpoilCut, standin.SpoilExtra, standin.SpoilLost, standin.SpoilRefused, standin.SpoilUnframed, standin.SpoilStray}
 	server, err := standin.NewServer(standin.ServerConfig{
-		ID:      fmt.Sprintf("i-%d", index),
-		Service: service,
-		Address: ip + ":8301",
-		Slots:   30,
-		Work:    20 * time.Millisecond,
+		ID:         fmt.Sprintf("i-%d", index),
+		Service:    service,
+		Address:    ip + ":8311",
+		Advertised: ip + ":8301",
+		Slots:      30,
+		Work:       20 * time.Millisecond,
 		Spoil: func(string) standin.Spoiling {
 			mu.Lock()
 			defer mu.Unlock()
@@ -110,12 +116,14 @@
 		f.t.Fatal(err)
 	}
 	n := &node{
-		index:   index,
-		service: service,
-		ip:      ip,
-		dir:     f.t.TempDir(),
-		server:  server,
-		stopped: make(chan struct{}),
+		index:    index,
+		service:  service,
+		ip:       ip,
+		dir:      f.t.TempDir(),
+		server:   server,
+		toServer: newLink(f.t, ip+":8301", string(server.Address())),
+		toStore:  newLink(f.t, ip+":8309", string(f.store.Address())),
+		stopped:  make(chan struct{}),
 	}
 	f.nodes = append(f.nodes, n)
 	f.start(n)
@@ -137,7 +145,7 @@
 // start runs the sidecar process of a node.
 func (f *fleet) start(n *node) {
 	path := filepath.Join(n.dir, "settings")
-	text := strings.NewReplacer("IP", n.ip, "INDEX", fmt.Sprint(n.index), "SERVICE", n.service, "STORE", string(f.store.Address())).Replace(settings)
+	text := strings.NewReplacer("IP", n.ip, "INDEX", fmt.Sprint(n.index), "SERVICE", n.service, "STORE", n.ip+":8309").Replace(settings)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -22,6 +23,8 @@
 	// faultPause is the longest pause between two faults; they overlap.
 	faultPause = 500 * time.Millisecond
 	clients    = 12
+	// linkDraws tells the random draws of links from the others of a seed.
+	linkDraws = 7
 )
 
 // failedSeeds are seeds that failed once, with their cause.
@@ -152,6 +155,7 @@
 func (f *fleet) injectFaults() {
 	end := time.Now().Add(faultTime)
 	var ended sync.WaitGroup
+	ended.Go(func() { f.disturbLinks(end) })
 	for time.Now().Before(end) {
 		fault := f.draw()
 		ended.Add(1)
@@ -168,6 +172,28 @@
 	f.configure()
 }
 
+// disturbLinks disturbs the links of the processes, beside the other faults. Its draws
+// are its own, so that a seed repeats the other faults as before there were links.
+func (f *fleet) disturbLinks(end time.Time) {
+	random := rand.New(rand.NewPCG(f.seed, linkDraws))
+	var ended sync.WaitGroup
+	for time.Now().Before(end) {
+		n := f.nodes[random.IntN(len(f.nodes))]
+		length := time.Duration(random.Int64N(int64(2 * time.Second)))
+		broken := []disturbance{mutedUp, mutedDown, refusing}[random.IntN(3)]
+		// A link to a server that only delays would let requests arrive there after its
+		// leaving was acknowledged.
+		disturb := []func(){
+			func() { n.toServer.disturb(broken, length) },
+			func() { n.toStore.disturb(broken, length) },
+			func() { n.toStore.disturb(delaying, length) },
+		}[random.IntN(3)]
+		ended.Go(disturb)
+		time.Sleep(time.Duration(random.Int64N(int64(2 * faultPause))))
+	}
+	ended.Wait()
+}
+
 // draw chooses a fault and all that it needs, so that a seed repeats its faults.
 func (f *fleet) draw() func() {
 	n := f.nodes[f.random.IntN(len(f.nodes))]
