Read the store once in each large availability zone

Two nodes read the store for all, so each change crosses to three in four nodes by itself, and the number of changes grows with the nodes.

Ruled out: traffic of requests (the same load at all sizes, 0.002 GB at 32 nodes and 0.049 GB at 304); the store's own bytes.

Change: zones of 16 nodes or more have a reader of their own, whose nodes ask it first and the reader of another zone when it gives no useful answer. Smaller zones share two readers as before. A node that knows nothing yet, or has just read all rows, is asked again after 300 ms instead of 3 s, because that is usual at a common start.

--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -14,9 +14,12 @@
 )
 
 const (
-	// readers is the number of nodes that read the store. With two, the loss of one
-	// doesn't send all others to the store.
-	readers = 2
+	// sources is the number of nodes that are asked before the store. With two, the
+	// loss of one doesn't send all others to the store.
+	sources = 2
+	// zoneMembers is the number of nodes from which on an availability zone has a reader
+	// of its own. Below it the calls to the store cost more than the bytes between zones.
+	zoneMembers = 16
 	// maxAge is the age above which a node's knowledge counts as stale. Readers hear
 	// from the store more often.
 	maxAge = 1500 * time.Millisecond
@@ -25,11 +28,15 @@
 	answerTime = 300 * time.Millisecond
 	// avoidTime is how long a node that gave no useful answer is not asked.
 	avoidTime = 3 * time.Second
+	// startTime is the same for a node that has read nothing yet, or all rows anew after
+	// the version asked for. Both are usual at a start and over in a moment.
+	startTime = 300 * time.Millisecond
 )
 
 // Member is a node that may be asked.
 type Member struct {
 	ID   lagoonbarrow.InstanceID
+	Zone lagoonbarrow.Zone
 	Peer lagoonbarrow.Address
 }
 
@@ -41,6 +48,7 @@
 // Config configures a Feed.
 type Config struct {
 	Self  lagoonbarrow.InstanceID
+	Zone  lagoonbarrow.Zone
 	Store lagoonbarrow.ChangeFeed
 	// Members returns the known nodes.
 	Members func() []Member
@@ -85,7 +93,7 @@
 // Changes waits for changes at a reader, or at the store if this node is one or no
 // reader gives a useful answer.
 func (f *Feed) Changes(ctx context.Context, table string, after lagoonbarrow.RowVersion, wait time.Duration) ([]lagoonbarrow.Change, lagoonbarrow.RowVersion, error) {
-	for _, reader := range f.readers() {
+	for _, reader := range f.sources() {
 		if reader.ID == f.config.Self {
 			break
 		}
@@ -94,8 +102,12 @@
 			After: after,
 			Wait:  wait,
 		})
-		if err != nil || !answer.Known || answer.HistoryLost || answer.Age > maxAge || answer.Version < after {
-			f.avoid(reader.ID)
+		if err == nil && (!answer.Known || answer.HistoryLost) {
+			f.avoid(reader.ID, startTime)
+			continue
+		}
+		if err != nil || answer.Age > maxAge || answer.Version < after {
+			f.avoid(reader.ID, avoidTime)
 			continue
 		}
 		changes := answer.received(table)
@@ -128,15 +140,37 @@
 	return answer, errors.Wrap(err, "feed: decode reply")
 }
 
-func (f *Feed) avoid(id lagoonbarrow.InstanceID) {
+func (f *Feed) avoid(id lagoonbarrow.InstanceID, length time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.avoided[id] = f.config.Now().Add(avoidTime)
+	f.avoided[id] = f.config.Now().Add(length)
+}
+
+// sources returns the nodes to ask, in this order, as this node sees it: the reader
+// of its own zone first, so that a change crosses to a zone once. A node that finds
+// itself there reads the store. Nodes that see others may read it too.
+func (f *Feed) sources() []Member {
+	members := f.usable()
+	slices.SortFunc(members, func(a, b Member) int {
+		if xxhash.Sum64String(string(a.ID)) < xxhash.Sum64String(string(b.ID)) {
+			return -1
+		}
+		return 1
+	})
+	var own, others []Member
+	for _, reader := range readers(members) {
+		if reader.ofZone && reader.Zone == f.config.Zone {
+			own = append(own, reader.Member)
+			continue
+		}
+		others = append(others, reader.Member)
+	}
+	all := append(own, others...)
+	return all[:min(sources, len(all))]
 }
 
-// readers returns the nodes that read the store, as this node sees it: those with
-// the lowest hashes of those not avoided. Nodes that see others may read it too.
-func (f *Feed) readers() []Member {
+// usable returns the members that are not avoided.
+func (f *Feed) usable() []Member {
 	members := f.config.Members()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -146,15 +180,38 @@
 			delete(f.avoided, id)
 		}
 	}
-	members = slices.DeleteFunc(members, func(m Member) bool {
+	return slices.DeleteFunc(members, func(m Member) bool {
 		_, avoided := f.avoided[m.ID]
 		return avoided
 	})
-	slices.SortFunc(members, func(a, b Member) int {
-		if xxhash.Sum64String(string(a.ID)) < xxhash.Sum64String(string(b.ID)) {
-			return -1
+}
+
+// reader is a node that may read the store for others.
+type reader struct {
+	Member
+	// ofZone is set for the reader of a zone that has one of its own.
+	ofZone bool
+}
+
+// readers returns the candidates in the order of the members: the first of each
+// zone that has enough members, and all of the other zones.
+func readers(members []Member) []reader {
+	sizes := map[lagoonbarrow.Zone]int{}
+	for _, member := range members {
+		sizes[member.Zone]++
+	}
+	var found []reader
+	taken := map[lagoonbarrow.Zone]bool{}
+	for _, member := range members {
+		large := sizes[member.Zone] >= zoneMembers
+		if large && taken[member.Zone] {
+			continue
 		}
-		return 1
-	})
-	return members[:min(readers, len(members))]
+		taken[member.Zone] = true
+		found = append(found, reader{
+			Member: member,
+			ofZone: large,
+		})
+	}
+	return found
 }
--- a/internal/process/feed/feed_test.go
+++ b/internal/process/feed/feed_test.go
@@ -116,6 +116,27 @@
 type fleet struct {
 	store *fakeStore
 	nodes []*node
+	zones int
+
+	mu sync.Mutex
+	// crossed counts the questions from a zone to another one.
+	crossed int
+}
+
+func (f *fleet) crossings() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.crossed
+}
+
+func (f *fleet) zone(index int) lagoonbarrow.Zone {
+	return lagoonbarrow.Zone(fmt.Sprintf("zone-%d", index%f.zones))
+}
+
+// sender sends the messages of a node in a zone.
+type sender struct {
+	fleet *fleet
+	zone  lagoonbarrow.Zone
 }
 
 type node struct {
@@ -135,9 +156,16 @@
 	n.dead = dead
 }
 
+// newFleet returns nodes in one zone.
 func newFleet(count int) *fleet {
+	return newZonedFleet(count, 1)
+}
+
+// newZonedFleet returns nodes spread over zones.
+func newZonedFleet(count, zones int) *fleet {
 	f := &fleet{
 		store: newFakeStore(),
+		zones: zones,
 	}
 	for i := range count {
 		cache := NewCache()
@@ -149,9 +177,10 @@
 		}
 		n.feed = New(Config{
 			Self:    memberID(i),
+			Zone:    f.zone(i),
 			Store:   f.store,
 			Members: f.members,
-			Sender:  f,
+			Sender:  sender{fleet: f, zone: f.zone(i)},
 			Cache:   cache,
 		})
 		f.nodes = append(f.nodes, n)
@@ -168,17 +197,24 @@
 	for i := range f.nodes {
 		members = append(members, Member{
 			ID:   memberID(i),
+			Zone: f.zone(i),
 			Peer: lagoonbarrow.Address(memberID(i)),
 		})
 	}
 	return members
 }
 
-func (f *fleet) Send(ctx context.Context, to lagoonbarrow.Address, message lagoonbarrow.Message) (lagoonbarrow.Message, error) {
+func (s sender) Send(ctx context.Context, to lagoonbarrow.Address, message lagoonbarrow.Message) (lagoonbarrow.Message, error) {
+	f := s.fleet
 	for i, n := range f.nodes {
 		if to != lagoonbarrow.Address(memberID(i)) {
 			continue
 		}
+		if f.zone(i) != s.zone {
+			f.mu.Lock()
+			f.crossed++
+			f.mu.Unlock()
+		}
 		n.mu.Lock()
 		cut, dead := n.cut, n.dead
 		n.mu.Unlock()
@@ -196,7 +232,7 @@
 
 // reader returns the index of the node that the others ask first.
 func (f *fleet) reader() int {
-	first := f.nodes[0].feed.readers()[0].ID
+	first := f.nodes[0].feed.sources()[0].ID
 	for i := range f.nodes {
 		if memberID(i) == first {
 			return i
@@ -270,11 +306,67 @@
 	}
 	f.await(t, 6, nil)
 	// Each of the readers may have asked once a change and once more.
-	if calls := f.store.count() - before; calls > 2*readers*6 {
+	if calls := f.store.count() - before; calls > 2*sources*6 {
 		t.Fatalf("%d calls for 5 changes", calls)
 	}
 }
 
+// Guards against bytes between zones that grow with the number of nodes: with a
+// reader in each zone, questions stay within it.
+func TestQuestionsStayInTheZone(t *testing.T) {
+	const changes = 5
+	f := newZonedFleet(4*zoneMembers, 4)
+	f.follow(t, nil)
+	f.store.put("a", false)
+	f.await(t, 1, nil)
+	// Nodes that were asked before they had read anything are asked again.
+	time.Sleep(startTime)
+	before := f.crossings()
+	for range changes {
+		f.store.put("a", false)
+		time.Sleep(20 * time.Millisecond)
+	}
+	f.await(t, 1+changes, nil)
+	// Each node asks at least once; without zones, three in four questions cross.
+	if crossed := f.crossings() - before; crossed > len(f.nodes)/4 {
+		t.Fatalf("%d questions of %d nodes left their zone", crossed, len(f.nodes))
+	}
+}
+
+// Guards against nodes that leave their reader for long because it starts with them.
+func TestReaderThatStartsIsAskedAgainSoon(t *testing.T) {
+	f := newFleet(4)
+	now := time.Now()
+	other := f.nodes[(f.reader()+1)%len(f.nodes)].feed
+	other.config.Now = func() time.Time { return now }
+	first := other.sources()[0]
+	if _, _, err := other.Changes(context.Background(), tableName, 0, time.Millisecond); err != nil {
+		t.Fatal(err)
+	}
+	if other.sources()[0] == first {
+		t.Fatal("a reader that knows nothing is asked again at once")
+	}
+	now = now.Add(startTime + time.Millisecond)
+	if other.sources()[0] != first {
+		t.Fatal("a reader that has started is not asked again")
+	}
+}
+
+// Guards against a burst of calls to the store when the reader of a zone is lost:
+// its nodes ask the reader of another zone meanwhile.
+func TestAnotherZoneStepsIn(t *testing.T) {
+	f := newZonedFleet(4*zoneMembers, 4)
+	own := f.nodes[0].feed.sources()
+	if own[0].Zone != f.zone(0) || own[1].Zone == f.zone(0) {
+		t.Fatalf("sources %v of a node in %s", own, f.zone(0))
+	}
+	for _, n := range f.nodes {
+		if found := n.feed.sources(); n.feed.config.Zone == f.zone(0) && found[0] != own[0] {
+			t.Fatalf("nodes of a zone ask %v and %v first", own[0], found[0])
+		}
+	}
+}
+
 // Guards against nodes that learn nothing because the node that they ask is dead,
 // cut off, or has lost the store.
 func TestChangesArriveWithoutTheReader(t *testing.T) {
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -194,6 +194,7 @@
 	s.tables = feed.NewCache()
 	source := feed.New(feed.Config{
 		Self:    s.settings.Instance,
+		Zone:    s.settings.Zone,
 		Store:   s.config.Store,
 		Members: s.members,
 		Sender:  lateTransport{sidecar: s},
@@ -443,6 +444,7 @@
 	for _, instance := range s.directory.All() {
 		members = append(members, feed.Member{
 			ID:   instance.ID,
+			Zone: instance.Zone,
 			Peer: instance.Peer,
 		})
 	}
