--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -92,6 +92,10 @@
 		name: "call-cost",
 		run:  callCost,
 	},
+	{
+		name: "sidecar-cost",
+		run:  sidecarCost,
+	},
 }
 
 // Run runs the measurements and prints the table.
