Disturb the links between the soak's nodes, at any size

The store's stand-in rewrites the addresses in the nodes' rows, so that nodes reach each other by loopback proxies, which are muted in one direction, reset or delayed like those to servers and stores. LAGOONBARROW_NODES sets the size. A client uses six nodes by turns: with connections to all of 80 nodes the 160 clients of a run used up the open files of the test process, and nodes couldn't recover (the run took 501 s).

--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -3,24 +3,39 @@
 package soak
 
 import (
+	"bytes"
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
+	"strconv"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
-	"lagoonbarrow"
 	"lagoonbarrow/platform/standin"
 )
 
-// services of the nodes, one after the other.
-var services = []string{"alpha", "beta", "alpha", "beta", "alpha", "beta"}
+// services of the nodes, by turns.
+var services = []string{"alpha", "beta"}
+
+const (
+	// defaultNodes is the number of nodes without LAGOONBARROW_NODES.
+	defaultNodes = 6
+	// heartbeatInterval is the time between two heartbeats of a server.
+	heartbeatInterval = 300 * time.Millisecond
+)
+
+// The ports of the links: to the server, to the store and from other nodes, which
+// reach the node itself at nodePort.
+const (
+	serverLinkPort = ":8301"
+	storeLinkPort  = ":8309"
+	nodeLinkPort   = ":7640"
+	nodePort       = ":7620"
+)
 
 // fleet is a store, backend servers and a sidecar process beside each.
 type fleet struct {
@@ -38,17 +53,17 @@
 type node struct {
 	index   int
 	service string
-	ip      string
-	dir     string
+	process *standin.Process
 	server  *standin.Server
-	// toServer and toStore are the links of the process to its server and the store.
-	toServer *link
-	toStore  *link
+	// toServer and toStore are the links of the process to its server and the store,
+	// fromNodes that of the other nodes to it.
+	toServer  *link
+	toStore   *link
+	fromNodes *link
 	// stopped ends the heartbeats.
 	stopped chan struct{}
 
-	mu      sync.Mutex
-	process *exec.Cmd
+	mu sync.Mutex
 	// draining is when the server's leaving was acknowledged; zero before.
 	draining time.Time
 	// arrivals is what had arrived a moment after that.
@@ -80,18 +95,30 @@
 		seed:   seed,
 		random: rand.New(rand.NewPCG(seed, seed)),
 	}
+	store.Rewrite(func(value []byte) []byte {
+		return bytes.ReplaceAll(value, []byte(nodePort), []byte(nodeLinkPort))
+	})
 	f.configure()
 	// Each seed has loopback addresses of its own, so that no run meets another's sockets.
 	network := fmt.Sprintf("127.%d.%d", 1+os.Getpid()%250, 1+seed%250)
-	for i, service := range services {
-		f.add(i, service, fmt.Sprintf("%s.%d", network, i+1), seed)
+	for i := range nodes() {
+		f.add(i, services[i%len(services)], fmt.Sprintf("%s.%d", network, i+1), seed)
 	}
 	for _, n := range f.nodes {
-		f.await("node is ready", n.ready)
+		f.await("node is ready", n.process.Ready)
 	}
 	return f
 }
 
+// nodes returns the number of nodes of a fleet.
+func nodes() int {
+	count, err := strconv.Atoi(os.Getenv("LAGOONBARROW_NODES"))
+	if err != nil || count < 2 || count > 250 {
+		return defaultNodes
+	}
+	return count
+}
+
 func (f *fleet) add(index int, service, ip string, seed uint64) {
 	spoil := rand.New(rand.NewPCG(seed, uint64(index)))
 	var mu sync.Mutex
@@ -100,7 +127,7 @@
 		ID:         fmt.Sprintf("i-%d", index),
 		Service:    service,
 		Address:    ip + ":8311",
-		Advertised: ip + ":8301",
+		Advertised: ip + serverLinkPort,
 		Slots:      30,
 		Work:       20 * time.Millisecond,
 		Spoil: func(string) standin.Spoiling {
@@ -116,83 +143,39 @@
 		f.t.Fatal(err)
 	}
 	n := &node{
-		index:    index,
-		service:  service,
-		ip:       ip,
-		dir:      f.t.TempDir(),
-		server:   server,
-		toServer: newLink(f.t, ip+":8301", string(server.Address())),
-		toStore:  newLink(f.t, ip+":8309", string(f.store.Address())),
-		stopped:  make(chan struct{}),
+		index:   index,
+		service: service,
+		process: standin.NewProcess(standin.ProcessConfig{
+			Binary:            f.binary,
+			Folder:            f.t.TempDir(),
+			Name:              fmt.Sprintf("node-%d", index),
+			IP:                ip,
+			Service:           service,
+			Server:            ip + serverLinkPort,
+			Store:             ip + storeLinkPort,
+			HeartbeatInterval: heartbeatInterval,
+		}),
+		server:    server,
+		toServer:  newLink(f.t, ip+serverLinkPort, string(server.Address())),
+		toStore:   newLink(f.t, ip+storeLinkPort, string(f.store.Address())),
+		fromNodes: newLink(f.t, ip+nodeLinkPort, ip+nodePort),
+		stopped:   make(chan struct{}),
 	}
 	f.nodes = append(f.nodes, n)
 	f.start(n)
 	var ended sync.WaitGroup
-	ended.Add(1)
-	go func() {
-		defer ended.Done()
-		n.beat()
-	}()
+	ended.Go(n.beat)
 	f.t.Cleanup(func() {
 		close(n.stopped)
 		ended.Wait()
-		n.kill(syscall.SIGCONT)
-		n.kill(syscall.SIGKILL)
+		n.process.End(syscall.SIGKILL)
 		server.Close()
 	})
 }
 
-// start runs the sidecar process of a node.
 func (f *fleet) start(n *node) {
-	path := filepath.Join(n.dir, "settings")
-	text := strings.NewReplacer("IP", n.ip, "INDEX", fmt.Sprint(n.index), "SERVICE", n.service, "STORE", n.ip+":8309").Replace(settings)
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-		f.t.Fatal(err)
-	}
-	log, err := os.OpenFile(filepath.Join(n.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	defer log.Close()
-	process := exec.Command(f.binary, "sidecar", "--settings", path)
-	process.Stdout = log
-	process.Stderr = log
-	if err := process.Start(); err != nil {
-		f.t.Fatal(err)
-	}
-	n.mu.Lock()
-	n.process = process
-	n.mu.Unlock()
-}
-
-const settings = `node-name=node-INDEX
-ip=IP
-zone=zone
-region=region
-listen.outbound=IP:8304
-listen.ready=IP:8302
-listen.control=IP:8306
-internal-ports=7620,7635
-limits.memory-mb=284
-limits.max-fds=4100
-heartbeat=300ms
-bounds=grace=6s,config-apply=2000ms,retry-budget-ratio=0.2,budget-window=10s,retry-budget-slack=47
-app-addr=IP:8301
-service=SERVICE
-platform.address=STORE
-`
-
-// kill sends a signal to the node's process, which this test has started.
-func (n *node) kill(signal syscall.Signal) {
-	n.mu.Lock()
-	process := n.process
-	n.mu.Unlock()
-	if process == nil {
-		return
-	}
-	_ = process.Process.Signal(signal)
-	if signal == syscall.SIGKILL {
-		_ = process.Wait()
+	if err := n.process.Start(); err != nil {
+		f.t.Error(err)
 	}
 }
 
@@ -204,14 +187,14 @@
 		n.mu.Lock()
 		draining := !n.draining.IsZero()
 		n.mu.Unlock()
-		err := n.server.Beat(lagoonbarrow.Address(n.ip + ":8306"))
+		err := n.server.Beat(n.process.Heartbeats())
 		if err == nil && draining {
 			n.noteDrained()
 		}
 		select {
 		case <-n.stopped:
 			return
-		case <-time.After(300 * time.Millisecond):
+		case <-time.After(heartbeatInterval):
 		}
 	}
 }
@@ -225,18 +208,6 @@
 	}
 }
 
-func (n *node) ready() bool {
-	client := http.Client{
-		Timeout: time.Second,
-	}
-	response, err := client.Get("http://" + n.ip + ":8302/ready")
-	if err != nil {
-		return false
-	}
-	defer response.Body.Close()
-	return response.StatusCode == http.StatusOK
-}
-
 // configure makes the operator change the configuration. Reads go to alpha in odd
 // versions and to beta in even ones, writes the other way.
 func (f *fleet) configure() {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -22,7 +22,11 @@
 	faultTime = 6 * time.Second
 	// faultPause is the longest pause between two faults; they overlap.
 	faultPause = 500 * time.Millisecond
-	clients    = 12
+	// clientsPerNode send requests at the same time.
+	clientsPerNode = 2
+	// clientNodes is the number of nodes that a client uses by turns, keeping a
+	// connection to each.
+	clientNodes = 6
 	// linkDraws tells the random draws of links from the others of a seed.
 	linkDraws = 7
 )
@@ -44,7 +48,8 @@
 
 // Guards the promises of the pages: writes run once, refusals are true, answers are
 // whole and one's own, leaving servers get nothing new, and the fleet serves
-// again after the faults. LAGOONBARROW_SEEDS and LAGOONBARROW_SEED choose the seeds.
+// again after the faults. LAGOONBARROW_SEEDS and LAGOONBARROW_SEED choose the seeds,
+// LAGOONBARROW_NODES the size.
 func TestSoak(t *testing.T) {
 	binary := build(t)
 	for _, seed := range seeds() {
@@ -75,7 +80,7 @@
 	t.Cleanup(func() { f.keepLogs(seed) })
 	stop := make(chan struct{})
 	var ended sync.WaitGroup
-	for number := range clients {
+	for number := range clientsPerNode * len(f.nodes) {
 		ended.Add(1)
 		go func() {
 			defer ended.Done()
@@ -100,7 +105,7 @@
 			return
 		default:
 		}
-		n := f.nodes[(number+i)%len(f.nodes)]
+		n := f.nodes[(number+i%clientNodes)%len(f.nodes)]
 		path := "/read/x"
 		if i%2 == 0 {
 			path = "/file/x"
@@ -111,7 +116,7 @@
 
 // check sends a request and compares what its client gets with what was run.
 func (f *fleet) check(transport *http.Transport, n *node, path, id string) int {
-	request, err := http.NewRequest(http.MethodPost, "http://"+n.ip+":8304"+path, strings.NewReader(id))
+	request, err := http.NewRequest(http.MethodPost, "http://"+string(n.process.Requests())+path, strings.NewReader(id))
 	if err != nil {
 		f.t.Error(err)
 		return 0
@@ -189,6 +194,9 @@
 			func() { n.toStore.disturb(delaying, length) },
 		}[random.IntN(3)]
 		ended.Go(disturb)
+		other := f.nodes[random.IntN(len(f.nodes))]
+		state := []disturbance{mutedUp, mutedDown, refusing, delaying}[random.IntN(4)]
+		ended.Go(func() { other.fromNodes.disturb(state, length) })
 		time.Sleep(time.Duration(random.Int64N(int64(2 * faultPause))))
 	}
 	ended.Wait()
@@ -203,11 +211,11 @@
 		func() { n.restart(f, syscall.SIGKILL) },
 		func() { n.restart(f, syscall.SIGTERM) },
 		func() {
-			n.kill(syscall.SIGSTOP)
+			n.process.Signal(syscall.SIGSTOP)
 			time.Sleep(length)
-			n.kill(syscall.SIGCONT)
+			n.process.Signal(syscall.SIGCONT)
 		},
-		func() { n.kill(syscall.SIGHUP) },
+		func() { n.process.Signal(syscall.SIGHUP) },
 		func() { f.disturbStore(standin.Faults{Failure: failure}, length) },
 		func() { f.disturbStore(standin.Faults{LoseAnswers: 0.5, LateBy: length / 2}, length) },
 		func() { f.disturbStore(standin.Faults{SilentFeeds: true}, length) },
@@ -250,23 +258,15 @@
 
 // restart ends the process with a signal and starts it again.
 func (n *node) restart(f *fleet, signal syscall.Signal) {
-	n.mu.Lock()
-	process := n.process
-	n.process = nil
-	n.mu.Unlock()
-	if process == nil {
-		return
+	if n.process.End(signal) {
+		f.start(n)
 	}
-	_ = process.Process.Signal(syscall.SIGCONT)
-	_ = process.Process.Signal(signal)
-	_ = process.Wait()
-	f.start(n)
 }
 
 // checkServes checks that every node serves again once the faults have ended.
 func (f *fleet) checkServes() {
 	for _, n := range f.nodes {
-		f.await("node is ready again", n.ready)
+		f.await("node is ready again", n.process.Ready)
 		attempt := 0
 		f.await(fmt.Sprintf("node %d serves again", n.index), func() bool {
 			transport := &http.Transport{}
@@ -297,7 +297,7 @@
 		return
 	}
 	for _, n := range f.nodes {
-		text, err := os.ReadFile(filepath.Join(n.dir, "log"))
+		text, err := os.ReadFile(n.process.LogPath())
 		if err != nil {
 			f.t.Log(err)
 			continue
