Use one type for members, and notice settings changed during a start

The feed takes instances instead of a copy of three of their fields. The watcher of the settings compares with what the file had before they were read, so a change between the two readings is not missed (TestChangeBeforeTheFirstLook). A flight doesn't keep its start.

--- a/internal/cli/sidecar.go
+++ b/internal/cli/sidecar.go
@@ -8,6 +8,7 @@
 	"syscall"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
 	"github.com/urfave/cli/v2"
 
 	"lagoonbarrow/internal/process/logging"
@@ -39,6 +40,11 @@
 
 func runSidecar(command *cli.Context) error {
 	path := command.String("settings")
+	// Read first, so that a change meanwhile is noticed by the watcher.
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return errors.Wrap(err, "cli: read settings")
+	}
 	settings, err := platform.LoadSettings(path)
 	if err != nil {
 		return err
@@ -72,6 +78,7 @@
 	defer cancel()
 	watcher := reload.NewWatcher(reload.Config{
 		Path:    path,
+		Known:   content,
 		Changed: func() { reloadSettings(path, process, logger) },
 		Logger:  logger.Named("settings"),
 	})
--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -33,13 +33,6 @@
 	startTime = 300 * time.Millisecond
 )
 
-// Member is a node that may be asked.
-type Member struct {
-	ID   lagoonbarrow.InstanceID
-	Zone lagoonbarrow.Zone
-	Peer lagoonbarrow.Address
-}
-
 // Sender sends control messages to nodes.
 type Sender interface {
 	Send(ctx context.Context, to lagoonbarrow.Address, message lagoonbarrow.Message) (lagoonbarrow.Message, error)
@@ -50,8 +43,8 @@
 	Self  lagoonbarrow.InstanceID
 	Zone  lagoonbarrow.Zone
 	Store lagoonbarrow.ChangeFeed
-	// Members returns the known nodes.
-	Members func() []Member
+	// Members returns the known nodes, in a slice of the caller's own.
+	Members func() []lagoonbarrow.Instance
 	Sender  Sender
 	Cache   *Cache
 	// Now tells the time; time.Now by default.
@@ -121,7 +114,7 @@
 	return changes, version, err
 }
 
-func (f *Feed) ask(ctx context.Context, reader Member, asked question) (*reply, error) {
+func (f *Feed) ask(ctx context.Context, reader lagoonbarrow.Instance, asked question) (*reply, error) {
 	body, err := msgpack.Marshal(asked)
 	if err != nil {
 		return nil, errors.Wrap(err, "feed: encode question")
@@ -149,28 +142,28 @@
 // sources returns the nodes to ask, in this order, as this node sees it: the reader
 // of its own zone first, so that a change crosses to a zone once. A node that finds
 // itself there reads the store. Nodes that see others may read it too.
-func (f *Feed) sources() []Member {
+func (f *Feed) sources() []lagoonbarrow.Instance {
 	members := f.usable()
-	slices.SortFunc(members, func(a, b Member) int {
+	slices.SortFunc(members, func(a, b lagoonbarrow.Instance) int {
 		if xxhash.Sum64String(string(a.ID)) < xxhash.Sum64String(string(b.ID)) {
 			return -1
 		}
 		return 1
 	})
-	var own, others []Member
+	var own, others []lagoonbarrow.Instance
 	for _, reader := range readers(members) {
 		if reader.ofZone && reader.Zone == f.config.Zone {
-			own = append(own, reader.Member)
+			own = append(own, reader.Instance)
 			continue
 		}
-		others = append(others, reader.Member)
+		others = append(others, reader.Instance)
 	}
 	all := append(own, others...)
 	return all[:min(sources, len(all))]
 }
 
 // usable returns the members that are not avoided.
-func (f *Feed) usable() []Member {
+func (f *Feed) usable() []lagoonbarrow.Instance {
 	members := f.config.Members()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -180,7 +173,7 @@
 			delete(f.avoided, id)
 		}
 	}
-	return slices.DeleteFunc(members, func(m Member) bool {
+	return slices.DeleteFunc(members, func(m lagoonbarrow.Instance) bool {
 		_, avoided := f.avoided[m.ID]
 		return avoided
 	})
@@ -188,14 +181,14 @@
 
 // reader is a node that may read the store for others.
 type reader struct {
-	Member
+	lagoonbarrow.Instance
 	// ofZone is set for the reader of a zone that has one of its own.
 	ofZone bool
 }
 
 // readers returns the candidates in the order of the members: the first of each
 // zone that has enough members, and all of the other zones.
-func readers(members []Member) []reader {
+func readers(members []lagoonbarrow.Instance) []reader {
 	sizes := map[lagoonbarrow.Zone]int{}
 	for _, member := range members {
 		sizes[member.Zone]++
@@ -209,8 +202,8 @@
 		}
 		taken[member.Zone] = true
 		found = append(found, reader{
-			Member: member,
-			ofZone: large,
+			Instance: member,
+			ofZone:   large,
 		})
 	}
 	return found
--- a/internal/process/feed/feed_test.go
+++ b/internal/process/feed/feed_test.go
@@ -192,10 +192,10 @@
 	return lagoonbarrow.InstanceID(fmt.Sprintf("node-%d", index))
 }
 
-func (f *fleet) members() []Member {
-	var members []Member
+func (f *fleet) members() []lagoonbarrow.Instance {
+	var members []lagoonbarrow.Instance
 	for i := range f.nodes {
-		members = append(members, Member{
+		members = append(members, lagoonbarrow.Instance{
 			ID:   memberID(i),
 			Zone: f.zone(i),
 			Peer: lagoonbarrow.Address(memberID(i)),
--- a/internal/process/placement/chooser.go
+++ b/internal/process/placement/chooser.go
@@ -201,7 +201,6 @@
 	chooser *Chooser
 	entry   *entry
 	route   lagoonbarrow.RouteName
-	started time.Time
 }
 
 // Started notes a request that is sent to an instance.
@@ -212,9 +211,8 @@
 		chooser: c,
 		entry:   c.entry(id),
 		route:   route,
-		started: c.config.Now(),
 	}
-	flight.entry.begin(flight.started)
+	flight.entry.begin(c.config.Now())
 	return flight
 }
 
--- a/internal/process/reload/watcher.go
+++ b/internal/process/reload/watcher.go
@@ -17,6 +17,9 @@
 // Config configures a Watcher.
 type Config struct {
 	Path string
+	// Known is the content that the settings in force were read from, or that the file
+	// had just before.
+	Known []byte
 	// Interval is the time between two looks at the file; 2 s by default.
 	Interval time.Duration
 	// Changed is told that the file has other content than before.
@@ -33,17 +36,16 @@
 	failing bool
 }
 
-// NewWatcher returns a watcher that takes the file's present content as known.
+// NewWatcher returns a watcher that has not looked at the file yet.
 func NewWatcher(config Config) *Watcher {
 	if config.Interval <= 0 {
 		config.Interval = defaultInterval
 	}
-	watcher := &Watcher{
+	return &Watcher{
 		config: config,
 		signal: make(chan struct{}, 1),
+		last:   config.Known,
 	}
-	watcher.last, _ = watcher.read()
-	return watcher
 }
 
 // Signal asks for a look at the file now.
--- a/internal/process/reload/watcher_test.go
+++ b/internal/process/reload/watcher_test.go
@@ -28,6 +28,7 @@
 			changes := make(chan struct{}, 10)
 			watcher := NewWatcher(Config{
 				Path:     path,
+				Known:    []byte("one"),
 				Interval: row.interval,
 				Changed:  func() { changes <- struct{}{} },
 				Logger:   hclog.NewNullLogger(),
@@ -53,6 +54,24 @@
 	}
 }
 
+// Guards against a change that is missed because it came between the reading of the
+// settings and the first look.
+func TestChangeBeforeTheFirstLook(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings")
+	write(t, path, "two")
+	told := 0
+	watcher := NewWatcher(Config{
+		Path:    path,
+		Known:   []byte("one"),
+		Changed: func() { told++ },
+		Logger:  hclog.NewNullLogger(),
+	})
+	watcher.look()
+	if told != 1 {
+		t.Fatalf("%d changes were told", told)
+	}
+}
+
 // Guards against a missing file that counts as a change.
 func TestAMissingFileChangesNothing(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "settings")
@@ -60,6 +79,7 @@
 	told := 0
 	watcher := NewWatcher(Config{
 		Path:    path,
+		Known:   []byte("one"),
 		Changed: func() { told++ },
 		Logger:  hclog.NewNullLogger(),
 	})
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -196,7 +196,7 @@
 		Self:    s.settings.Instance,
 		Zone:    s.settings.Zone,
 		Store:   s.config.Store,
-		Members: s.members,
+		Members: s.directory.All,
 		Sender:  lateTransport{sidecar: s},
 		Cache:   s.tables,
 	})
@@ -438,19 +438,6 @@
 	return s.highest.Load() > uint64(s.routes.Version())
 }
 
-// members returns the nodes that may be asked for changes.
-func (s *Sidecar) members() []feed.Member {
-	var members []feed.Member
-	for _, instance := range s.directory.All() {
-		members = append(members, feed.Member{
-			ID:   instance.ID,
-			Zone: instance.Zone,
-			Peer: instance.Peer,
-		})
-	}
-	return members
-}
-
 // rowMembers returns the nodes with their rows' versions.
 func (s *Sidecar) rowMembers() []registration.Member {
 	var members []registration.Member
