--- a/internal/bench/control.go
+++ b/internal/bench/control.go
@@ -312,16 +312,7 @@
 		for _, rate := range callRates {
 			before := totals(r, f)
 			began := time.Now()
-			samples := load{
-				phases: []phase{
-					{
-						duration:  5 * time.Second,
-						perSecond: rate,
-					},
-				},
-				kinds: lookups,
-				seed:  r.config.Seed,
-			}.run(f)
+			samples := r.steady(5*time.Second, rate, lookups).run(f)
 			after := totals(r, f)
 			share := (after.cpu - before.cpu).Seconds() / time.Since(began).Seconds()
 			// Each request is a call at either service.
--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -51,6 +51,20 @@
 	seed uint64
 }
 
+// steady returns a load at one rate.
+func (r *runner) steady(duration time.Duration, perSecond float64, kinds []kind) load {
+	return load{
+		phases: []phase{
+			{
+				duration:  duration,
+				perSecond: perSecond,
+			},
+		},
+		kinds: kinds,
+		seed:  r.config.Seed,
+	}
+}
+
 // sample is what became of one request.
 type sample struct {
 	kind string
--- a/internal/bench/policy.go
+++ b/internal/bench/policy.go
@@ -262,16 +262,7 @@
 				kinds = beside
 				rate = 480
 			}
-			return load{
-				phases: []phase{
-					{
-						duration:  tailDuration,
-						perSecond: rate,
-					},
-				},
-				kinds: kinds,
-				seed:  r.config.Seed,
-			}.run(f)
+			return r.steady(tailDuration, rate, kinds).run(f)
 		},
 	)
 }
@@ -341,16 +332,7 @@
 			if disturbed {
 				f.Of("registry")[1].Backend.Switch(func(s *backend.Switches) { s.Slow = 10 })
 			}
-			return load{
-				phases: []phase{
-					{
-						duration:  tailDuration,
-						perSecond: 300,
-					},
-				},
-				kinds: lookups,
-				seed:  r.config.Seed,
-			}.run(f)
+			return r.steady(tailDuration, 300, lookups).run(f)
 		},
 	)
 }
@@ -436,16 +418,7 @@
 				for _, node := range deepest {
 					node.Backend.Switch(func(s *backend.Switches) { s.Cut = 1 })
 				}
-				load{
-					phases: []phase{
-						{
-							duration:  time.Second,
-							perSecond: 10,
-						},
-					},
-					kinds: lookups,
-					seed:  r.config.Seed,
-				}.run(f)
+				r.steady(time.Second, 10, lookups).run(f)
 				time.Sleep(4 * time.Second)
 				most[variant.name] = mostRuns(deepest)
 			})
--- a/internal/process/reload/watcher_test.go
+++ b/internal/process/reload/watcher_test.go
@@ -59,16 +59,10 @@
 func TestChangeBeforeTheFirstLook(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "settings")
 	write(t, path, "two")
-	told := 0
-	watcher := NewWatcher(Config{
-		Path:    path,
-		Known:   []byte("one"),
-		Changed: func() { told++ },
-		Logger:  hclog.NewNullLogger(),
-	})
+	watcher, told := counting(path)
 	watcher.look()
-	if told != 1 {
-		t.Fatalf("%d changes were told", told)
+	if *told != 1 {
+		t.Fatalf("%d changes were told", *told)
 	}
 }
 
@@ -76,24 +70,31 @@
 func TestAMissingFileChangesNothing(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "settings")
 	write(t, path, "one")
-	told := 0
-	watcher := NewWatcher(Config{
-		Path:    path,
-		Known:   []byte("one"),
-		Changed: func() { told++ },
-		Logger:  hclog.NewNullLogger(),
-	})
+	watcher, told := counting(path)
 	if err := os.Remove(path); err != nil {
 		t.Fatal(err)
 	}
 	watcher.look()
 	write(t, path, "one")
 	watcher.look()
-	if told != 0 {
-		t.Fatalf("%d changes were told", told)
+	if *told != 0 {
+		t.Fatalf("%d changes were told", *told)
 	}
 }
 
+// counting returns a watcher of a file that held "one", and the number of changes
+// that it has told.
+func counting(path string) (watcher *Watcher, told *int) {
+	told = new(int)
+	watcher = NewWatcher(Config{
+		Path:    path,
+		Known:   []byte("one"),
+		Changed: func() { *told++ },
+		Logger:  hclog.NewNullLogger(),
+	})
+	return watcher, told
+}
+
 func write(t *testing.T, path, text string) {
 	t.Helper()
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
