Log why a source of changes is left, a call is lost, a listener fails

Cause (read-through): the feed dropped the error of a node that it leaves, the forwarder that of a lost call, and two listeners the error of their end. An engineer saw reason=unreachable without its cause, and nothing of a reader that was left.

Tests: TestLeavingAReaderIsLogged, TestLostCallsAreLoggedWithTheirCause (both fail before).

--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -47,6 +48,7 @@
 	Members func() []lagoonbarrow.Instance
 	Sender  Sender
 	Cache   *Cache
+	Logger  hclog.Logger
 	// Now tells the time; time.Now by default.
 	Now func() time.Time
 }
@@ -95,12 +97,11 @@
 			After: after,
 			Wait:  wait,
 		})
-		if err == nil && (!answer.Known || answer.HistoryLost) {
-			f.avoid(reader.ID, startTime)
-			continue
+		if err == nil {
+			err = answer.check(after)
 		}
-		if err != nil || answer.Age > maxAge || answer.Version < after {
-			f.avoid(reader.ID, avoidTime)
+		if err != nil {
+			f.leave(reader.ID, table, err)
 			continue
 		}
 		changes := answer.received(table)
@@ -133,7 +134,13 @@
 	return answer, errors.Wrap(err, "feed: decode reply")
 }
 
-func (f *Feed) avoid(id lagoonbarrow.InstanceID, length time.Duration) {
+// leave doesn't ask a node for some time.
+func (f *Feed) leave(id lagoonbarrow.InstanceID, table string, cause error) {
+	length := avoidTime
+	if errors.Is(cause, lagoonbarrow.ErrHistoryLost) {
+		length = startTime
+	}
+	f.config.Logger.Info("a node gave no useful answer about changes", "node", id, "table", table, "not-asked-for", length.String(), "cause", cause)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.avoided[id] = f.config.Now().Add(length)
--- a/internal/process/feed/feed_test.go
+++ b/internal/process/feed/feed_test.go
@@ -1,12 +1,15 @@
 package feed
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
 	"lagoonbarrow"
@@ -182,6 +185,7 @@
 			Members: f.members,
 			Sender:  sender{fleet: f, zone: f.zone(i)},
 			Cache:   cache,
+			Logger:  hclog.NewNullLogger(),
 		})
 		f.nodes = append(f.nodes, n)
 	}
@@ -391,6 +395,26 @@
 	}
 }
 
+// Guards against a dependency that is lost without a line in the log.
+func TestLeavingAReaderIsLogged(t *testing.T) {
+	f := newFleet(4)
+	f.nodes[f.reader()].set(false, true)
+	other := f.nodes[(f.reader()+1)%len(f.nodes)].feed
+	first := other.sources()[0].ID
+	var lines bytes.Buffer
+	other.config.Logger = hclog.New(&hclog.LoggerOptions{
+		Output: &lines,
+	})
+	if _, _, err := other.Changes(context.Background(), tableName, 0, time.Millisecond); err != nil {
+		t.Fatal(err)
+	}
+	for _, part := range []string{string(first), tableName, "3s", lagoonbarrow.ErrNotSent.Error()} {
+		if !strings.Contains(lines.String(), part) {
+			t.Errorf("%q is missing in %q", part, lines.String())
+		}
+	}
+}
+
 // Guards against a reader whose old knowledge is taken for recent.
 func TestStaleReaderIsLeft(t *testing.T) {
 	f := newFleet(4)
--- a/internal/process/feed/messages.go
+++ b/internal/process/feed/messages.go
@@ -103,6 +103,23 @@
 	return answer
 }
 
+// check returns ErrHistoryLost if the node can't tell the changes after a version, and
+// ErrUnavailable if it knows nothing recent.
+func (r *reply) check(after lagoonbarrow.RowVersion) error {
+	switch {
+	case !r.Known:
+		return errors.Wrap(lagoonbarrow.ErrHistoryLost, "feed: the node has read nothing yet")
+	case r.HistoryLost:
+		return errors.Wrapf(lagoonbarrow.ErrHistoryLost, "feed: the node knows no changes after version %d", after)
+	case r.Age > maxAge:
+		return errors.Wrapf(lagoonbarrow.ErrUnavailable, "feed: the node's knowledge is %s old", r.Age)
+	case r.Version < after:
+		return errors.Wrapf(lagoonbarrow.ErrUnavailable, "feed: the node knows version %d, this one %d", r.Version, after)
+	default:
+		return nil
+	}
+}
+
 func (r *reply) received(table string) []lagoonbarrow.Change {
 	var changes []lagoonbarrow.Change
 	for _, change := range r.Changes {
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -296,6 +296,7 @@
 		Limits:  limits,
 		Ledger:  n.ledger,
 		Caller:  n.caller,
+		Logger:  n.logger.Named("local"),
 	})
 	if n.settings.Entry != "" {
 		n.customers = entry.NewCustomerListener(entry.CustomerConfig{
@@ -309,6 +310,7 @@
 			Caller:    n.caller,
 			Recorder:  n.timeline,
 			Scope:     n.scope.SubScope("entry"),
+			Logger:    n.logger.Named("entry"),
 			Plain:     n.settings.Plain,
 		})
 	}
--- a/internal/process/sidecar/control.go
+++ b/internal/process/sidecar/control.go
@@ -5,6 +5,7 @@
 	"net"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
@@ -27,12 +28,14 @@
 	name    string
 	address lagoonbarrow.Address
 	http    *fasthttp.Server
+	logger  hclog.Logger
 }
 
-func newControl(name string, address lagoonbarrow.Address, handler fasthttp.RequestHandler) *control {
+func (s *Sidecar) newControl(name string, address lagoonbarrow.Address, handler fasthttp.RequestHandler) *control {
 	return &control{
 		name:    name,
 		address: address,
+		logger:  s.config.Logger.Named(name),
 		http: &fasthttp.Server{
 			Handler:               handler,
 			ReadTimeout:           controlTimeout,
@@ -52,7 +55,9 @@
 		return errors.Wrapf(err, "sidecar: listen for %s", c.name)
 	}
 	go func() {
-		_ = c.http.Serve(listener)
+		if err := c.http.Serve(listener); err != nil {
+			c.logger.Error("the listener failed", "address", c.address, "error", err)
+		}
 	}()
 	return nil
 }
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -199,6 +199,7 @@
 		Members: s.directory.All,
 		Sender:  lateTransport{sidecar: s},
 		Cache:   s.tables,
+		Logger:  s.config.Logger.Named("feed"),
 	})
 	configuration := follower.New(follower.Config{
 		Feed:    source,
@@ -336,10 +337,11 @@
 		Forwarder: s.forwarder,
 		Parent:    s.handler.Parent,
 		Recorder:  s.timeline,
+		Logger:    s.config.Logger.Named("requests"),
 	})
-	s.heartbeats = newControl("heartbeats", s.settings.Heartbeats, s.config.HeartbeatHandler(s.registration))
-	s.ready = newControl("readiness", s.settings.Ready, s.serveReady)
-	s.scrape = newControl("metrics", s.settings.Metrics, s.metrics.Handler())
+	s.heartbeats = s.newControl("heartbeats", s.settings.Heartbeats, s.config.HeartbeatHandler(s.registration))
+	s.ready = s.newControl("readiness", s.settings.Ready, s.serveReady)
+	s.scrape = s.newControl("metrics", s.settings.Metrics, s.metrics.Handler())
 }
 
 // maxHeaderBytes bounds a request's headers; the platform's clients stay within 16 KiB.
--- a/internal/request/entry/customer.go
+++ b/internal/request/entry/customer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 	"github.com/valyala/fasthttp"
@@ -30,6 +31,7 @@
 	Caller    lagoonbarrow.Caller
 	Recorder  lagoonbarrow.Recorder
 	Scope     tally.Scope
+	Logger    hclog.Logger
 	// Plain skips quota and thresholds, as the baseline of measurements.
 	Plain bool
 }
@@ -52,7 +54,7 @@
 		accepted:   config.Scope.Counter("requests-accepted"),
 		refused:    config.Scope.Counter("requests-refused"),
 	}
-	listener.server = newServer(config.Address, config.Limits, listener.serve)
+	listener.server = newServer(config.Address, config.Limits, config.Logger, listener.serve)
 	return listener
 }
 
--- a/internal/request/entry/disconnect_test.go
+++ b/internal/request/entry/disconnect_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/valyala/fasthttp"
 )
 
@@ -20,7 +21,7 @@
 		BodyBytes:   1 << 20,
 		HeaderBytes: 4 << 10,
 		Connections: 10,
-	}, func(http *fasthttp.RequestCtx) {
+	}, hclog.NewNullLogger(), func(http *fasthttp.RequestCtx) {
 		ctx, cancel := follow(http)
 		defer cancel()
 		followed <- ctx
@@ -122,7 +123,7 @@
 		BodyBytes:   1 << 20,
 		HeaderBytes: 4 << 10,
 		Connections: 10,
-	}, func(http *fasthttp.RequestCtx) {
+	}, hclog.NewNullLogger(), func(http *fasthttp.RequestCtx) {
 		_ = http.Conn().SetReadDeadline(time.Now())
 		ctx, cancel := follow(http)
 		defer cancel()
--- a/internal/request/entry/local.go
+++ b/internal/request/entry/local.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/valyala/fasthttp"
 
 	"lagoonbarrow"
@@ -15,6 +16,7 @@
 	Limits  Limits
 	Ledger  lagoonbarrow.Ledger
 	Caller  lagoonbarrow.Caller
+	Logger  hclog.Logger
 }
 
 // LocalListener serves the downstream calls of the backend server beside this
@@ -29,7 +31,7 @@
 	listener := &LocalListener{
 		config: config,
 	}
-	listener.server = newServer(config.Address, config.Limits, listener.serve)
+	listener.server = newServer(config.Address, config.Limits, config.Logger, listener.serve)
 	return listener
 }
 
--- a/internal/request/entry/routed.go
+++ b/internal/request/entry/routed.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
@@ -42,6 +43,7 @@
 	// Parent finds the running call that a request of the backend server belongs to.
 	Parent   func(request lagoonbarrow.RequestID) (*execute.Run, bool)
 	Recorder lagoonbarrow.Recorder
+	Logger   hclog.Logger
 }
 
 // RoutedListener serves the requests of the clients on this machine and of the
@@ -74,7 +76,7 @@
 			"expect",
 		},
 	}
-	listener.server = newServer(config.Address, config.Limits, listener.serve)
+	listener.server = newServer(config.Address, config.Limits, config.Logger, listener.serve)
 	listener.server.http.NoDefaultDate = true
 	return listener
 }
--- a/internal/request/entry/server.go
+++ b/internal/request/entry/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
@@ -35,10 +36,10 @@
 	address  lagoonbarrow.Address
 	http     *fasthttp.Server
 	listener net.Listener
-	failed   chan error
+	logger   hclog.Logger
 }
 
-func newServer(address lagoonbarrow.Address, limits Limits, handler fasthttp.RequestHandler) *server {
+func newServer(address lagoonbarrow.Address, limits Limits, logger hclog.Logger, handler fasthttp.RequestHandler) *server {
 	return &server{
 		address: address,
 		http: &fasthttp.Server{
@@ -56,7 +57,7 @@
 			Logger:                       silent{},
 			ErrorHandler:                 refuseUnread,
 		},
-		failed: make(chan error, 1),
+		logger: logger,
 	}
 }
 
@@ -86,7 +87,9 @@
 	}
 	s.listener = listener
 	go func() {
-		s.failed <- s.http.Serve(listener)
+		if err := s.http.Serve(listener); err != nil {
+			s.logger.Error("the listener of requests failed", "address", s.address, "error", err)
+		}
 	}()
 	return lagoonbarrow.Address(listener.Addr().String()), nil
 }
--- a/internal/request/forward/forwarder.go
+++ b/internal/request/forward/forwarder.go
@@ -98,8 +98,9 @@
 	offered int
 	// retryAfter is the shortest time until an instance expects to have room.
 	retryAfter time.Duration
-	// last is the last answer.
-	last *lagoonbarrow.Answer
+	// last is the last answer, and lastErr why there was none of the instance.
+	last    *lagoonbarrow.Answer
+	lastErr error
 	// best is the answer that tells most: a server's own one before one that leaves
 	// open whether the request was run, and that before a refusal.
 	best *lagoonbarrow.Answer
@@ -125,7 +126,7 @@
 		if answer.Outcome == lagoonbarrow.OutcomeDone && !retryable(answer) {
 			return answer
 		}
-		f.record(request, choice, answer)
+		f.record(request, choice, state)
 		if !f.mayRepeat(request, state) {
 			return f.final(ctx, request, state)
 		}
@@ -193,6 +194,7 @@
 	flight := f.config.Chooser.Started(choice.Instance.ID, request.Route.Name)
 	started := time.Now()
 	answer, err := f.exchange(ctx, choice.Instance, call)
+	state.lastErr = err
 	if err != nil {
 		flight.Ended(lost(ctx, time.Since(started)))
 		return f.transportAnswer(ctx, choice.Instance, call, err)
@@ -294,12 +296,17 @@
 	return answer
 }
 
-func (f *Forwarder) record(request *Request, choice placement.Choice, answer *lagoonbarrow.Answer) {
+func (f *Forwarder) record(request *Request, choice placement.Choice, state *progress) {
+	answer := state.last
+	detail := fmt.Sprintf("route=%s version=%d service=%s outcome=%s reason=%s status=%d offered=%t nested=%t priority=%d waited=%s",
+		request.Route.Name, request.Route.Version, request.Service, answer.Outcome, answer.Reason, answer.Status, answer.Offered,
+		request.Nested, request.Priority, time.Since(request.Received).Round(time.Millisecond))
+	if state.lastErr != nil {
+		detail += " cause=" + state.lastErr.Error()
+	}
 	f.config.Recorder.Record(event.CallFailed, event.Fields{
 		Request: string(request.ID),
 		Peer:    string(choice.Instance.ID),
-		Detail: fmt.Sprintf("route=%s version=%d service=%s outcome=%s reason=%s status=%d offered=%t nested=%t priority=%d waited=%s",
-			request.Route.Name, request.Route.Version, request.Service, answer.Outcome, answer.Reason, answer.Status, answer.Offered,
-			request.Nested, request.Priority, time.Since(request.Received).Round(time.Millisecond)),
+		Detail:  detail,
 	})
 }
--- a/internal/request/forward/forwarder_test.go
+++ b/internal/request/forward/forwarder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -382,3 +383,35 @@
 		t.Errorf("%d sends of a more important call, want 2", got)
 	}
 }
+
+// keptRecorder keeps the details of what it is told.
+type keptRecorder struct {
+	details []string
+}
+
+func (r *keptRecorder) Record(_ event.Kind, fields event.Fields) {
+	r.details = append(r.details, fields.Detail)
+}
+
+// Guards against a lost call whose log line doesn't tell why it was lost, and against
+// a cause that is told of a later call.
+func TestLostCallsAreLoggedWithTheirCause(t *testing.T) {
+	forwarder := newForwarder(&fakeTransport{
+		replies: []reply{
+			{
+				err: errors.Wrap(lagoonbarrow.ErrNotSent, "dial timeout"),
+			},
+			refusedByNode,
+			served,
+		},
+	})
+	kept := &keptRecorder{}
+	forwarder.config.Recorder = kept
+	forwarder.Do(context.Background(), newRequest(true, false))
+	if len(kept.details) != 2 {
+		t.Fatalf("recorded %q", kept.details)
+	}
+	if !strings.Contains(kept.details[0], "cause=dial timeout") || strings.Contains(kept.details[1], "cause=") {
+		t.Fatalf("recorded %q", kept.details)
+	}
+}
