--- a/internal/process/feed/feed_test.go
+++ b/internal/process/feed/feed_test.go
@@ -356,8 +356,8 @@
 	}
 }
 
-// Guards against a burst of calls to the store when the reader of a zone is lost:
-// its nodes ask the reader of another zone meanwhile.
+// Guards against nodes of a zone that ask different readers first, and against a
+// second one that is lost together with the first.
 func TestAnotherZoneStepsIn(t *testing.T) {
 	f := newZonedFleet(4*zoneMembers, 4)
 	own := f.nodes[0].feed.sources()
@@ -371,6 +371,34 @@
 	}
 }
 
+// Guards against a burst of calls to the store after a zone has lost its reader.
+func TestLostReaderOfAZoneIsReplaced(t *testing.T) {
+	const (
+		zones   = 4
+		changes = 5
+	)
+	f := newZonedFleet(zones*zoneMembers, zones)
+	lost := map[int]bool{
+		f.reader(): true,
+	}
+	f.follow(t, lost)
+	f.store.put("a", false)
+	f.await(t, 1, lost)
+	f.nodes[f.reader()].set(false, true)
+	time.Sleep(startTime)
+	before := f.store.count()
+	for range changes {
+		f.store.put("a", false)
+		time.Sleep(20 * time.Millisecond)
+	}
+	f.await(t, 1+changes, lost)
+	// Each reader asks once a change and once more. Without a second source all nodes
+	// of the zone would.
+	if calls := f.store.count() - before; calls > 2*zones*(changes+1) {
+		t.Fatalf("%d calls to the store for %d changes", calls, changes)
+	}
+}
+
 // Guards against nodes that learn nothing because the node that they ask is dead,
 // cut off, or has lost the store.
 func TestChangesArriveWithoutTheReader(t *testing.T) {
