--- a/internal/process/feed/feed_test.go
+++ b/internal/process/feed/feed_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -513,3 +514,17 @@
 		t.Fatalf("error %v", err)
 	}
 }
+
+// BenchmarkSources measures the choice of whom to ask at the planned size, which
+// each question makes anew.
+func BenchmarkSources(b *testing.B) {
+	f := newZonedFleet(7800, 5)
+	members := f.members()
+	chooser := f.nodes[0].feed
+	chooser.config.Members = func() []lagoonbarrow.Instance { return slices.Clone(members) }
+	for b.Loop() {
+		if len(chooser.sources()) != sources {
+			b.Fatal("no sources")
+		}
+	}
+}
