Keep seed 36 of the soak as an open case

The check stays as it is; it prints the requests, when their clients sent them and when they arrived.

--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -48,6 +48,8 @@
 
 	mu      sync.Mutex
 	version int
+	// begun holds when clients sent their requests, by the requests' ids.
+	begun map[string]time.Time
 }
 
 type node struct {
@@ -64,10 +66,10 @@
 	stopped chan struct{}
 
 	mu sync.Mutex
-	// draining is when the server's leaving was acknowledged; zero before.
-	draining time.Time
-	// arrivals is what had arrived a moment after that.
-	arrivals int
+	// draining is set once the server says that it leaves, and acknowledged when that
+	// was acknowledged.
+	draining     bool
+	acknowledged time.Time
 }
 
 // build compiles the command once for all seeds.
@@ -92,6 +94,7 @@
 		t:      t,
 		binary: binary,
 		store:  store,
+		begun:  map[string]time.Time{},
 		seed:   seed,
 		random: rand.New(rand.NewPCG(seed, seed)),
 	}
@@ -185,7 +188,7 @@
 		// Asked before the heartbeat, whose state is set together with it: only a heartbeat
 		// that says draining acknowledges the leaving.
 		n.mu.Lock()
-		draining := !n.draining.IsZero()
+		draining := n.draining
 		n.mu.Unlock()
 		err := n.server.Beat(n.process.Heartbeats())
 		if err == nil && draining {
@@ -199,12 +202,12 @@
 	}
 }
 
-// noteDrained remembers the arrivals at the acknowledgement of the leaving.
+// noteDrained remembers when the leaving was acknowledged.
 func (n *node) noteDrained() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.arrivals == 0 {
-		n.arrivals = n.server.Count().Arrivals
+	if n.acknowledged.IsZero() {
+		n.acknowledged = time.Now()
 	}
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -57,6 +57,25 @@
 	}
 }
 
+// openSeeds are seeds that failed once and are not traced.
+var openSeeds = []struct {
+	seed uint64
+	seen string
+}{
+	{
+		seed: 36,
+		seen: "four requests arrived at a server after its leaving was acknowledged, once beside six plays of the bench",
+	},
+}
+
+// Guards what TestSoak does. KNOWN-RED.txt lists it while there are open seeds.
+func TestSoakOpenSeeds(t *testing.T) {
+	binary := build(t)
+	for _, open := range openSeeds {
+		t.Run(fmt.Sprintf("seed %d", open.seed), func(t *testing.T) { run(t, binary, open.seed) })
+	}
+}
+
 func seeds() []uint64 {
 	if one, err := strconv.ParseUint(os.Getenv("LAGOONBARROW_SEED"), 10, 64); err == nil {
 		return []uint64{one}
@@ -130,6 +149,7 @@
 		Transport: transport,
 		Timeout:   5 * time.Second,
 	}
+	f.begin(id)
 	response, err := client.Do(request)
 	if err != nil {
 		// A closed connection promises nothing; the node may be dead or frozen.
@@ -156,6 +176,19 @@
 	return response.StatusCode
 }
 
+// begin notes when a client sends a request.
+func (f *fleet) begin(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.begun[id] = time.Now()
+}
+
+func (f *fleet) begunAt(id string) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.begun[id]
+}
+
 // injectFaults injects random faults, in series and overlapping, and ends them all.
 func (f *fleet) injectFaults() {
 	end := time.Now().Add(faultTime)
@@ -242,17 +275,17 @@
 	left := 0
 	for _, other := range f.nodes {
 		other.mu.Lock()
-		if other.service == n.service && other.draining.IsZero() {
+		if other.service == n.service && !other.draining {
 			left++
 		}
 		other.mu.Unlock()
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if left < 2 || !n.draining.IsZero() {
+	if left < 2 || n.draining {
 		return
 	}
-	n.draining = time.Now()
+	n.draining = true
 	n.server.SetState("draining")
 }
 
@@ -283,10 +316,18 @@
 	const crossing = 2
 	for _, n := range f.nodes {
 		n.mu.Lock()
-		noted := n.arrivals
+		acknowledged := n.acknowledged
 		n.mu.Unlock()
-		if late := n.server.Count().Arrivals - noted; noted > 0 && late > crossing {
-			f.t.Errorf("%d requests arrived at server %d after its leaving was acknowledged", late, n.index)
+		if acknowledged.IsZero() {
+			continue
+		}
+		late := n.server.ArrivalsAfter(acknowledged)
+		if len(late) <= crossing {
+			continue
+		}
+		for _, arrival := range late {
+			f.t.Errorf("%s, begun %s after the leaving of server %d was acknowledged, arrived there %s after that",
+				arrival.Request, f.begunAt(arrival.Request).Sub(acknowledged), n.index, arrival.At.Sub(acknowledged))
 		}
 	}
 }
