--- a/internal/bench/sidecar.go
+++ b/internal/bench/sidecar.go
@@ -35,17 +35,11 @@
 	readyTarget = time.Second
 )
 
-// sidecarNode is a process with its backend server.
-type sidecarNode struct {
-	process *standin.Process
-	server  *standin.Server
-}
-
-// sidecarFleet is a store and nodes.
+// sidecarFleet is a store and sidecar processes, each beside a backend server.
 type sidecarFleet struct {
-	r     *runner
-	store *standin.Store
-	nodes []*sidecarNode
+	r         *runner
+	store     *standin.Store
+	processes []*standin.Process
 	// slowest is the longest time from a start until ready.
 	slowest time.Duration
 	client  http.Client
@@ -157,10 +151,7 @@
 		time.Sleep(readyPoll)
 	}
 	f.slowest = max(f.slowest, time.Since(began))
-	f.nodes = append(f.nodes, &sidecarNode{
-		process: process,
-		server:  server,
-	})
+	f.processes = append(f.processes, process)
 }
 
 // beat sends the server's heartbeats until the measure ends.
@@ -193,8 +184,8 @@
 
 func (f *sidecarFleet) used() time.Duration {
 	sum := time.Duration(0)
-	for _, node := range f.nodes {
-		used, _ := processUse(f.r, node.process.PID())
+	for _, process := range f.processes {
+		used, _ := processUse(f.r, process.PID())
 		sum += used
 	}
 	return sum
@@ -212,9 +203,9 @@
 	for number := 0; next.Before(end); number++ {
 		time.Sleep(time.Until(next))
 		next = next.Add(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
-		node := f.nodes[1+2*(number%(sidecarNodes/2))]
+		process := f.processes[1+2*(number%(sidecarNodes/2))]
 		running.Go(func() {
-			if f.read(node, fmt.Sprintf("r%d-%d", int(rate), number)) {
+			if f.read(process, fmt.Sprintf("r%d-%d", int(rate), number)) {
 				return
 			}
 			mu.Lock()
@@ -227,8 +218,8 @@
 }
 
 // read sends one request and reports whether it was answered whole.
-func (f *sidecarFleet) read(node *sidecarNode, id string) bool {
-	request, err := http.NewRequest(http.MethodGet, "http://"+string(node.process.Requests())+"/read/x", nil)
+func (f *sidecarFleet) read(process *standin.Process, id string) bool {
+	request, err := http.NewRequest(http.MethodGet, "http://"+string(process.Requests())+"/read/x", nil)
 	if err != nil {
 		return false
 	}
