Check what arrives at a leaving server by when its client sent it

Cause of seed 36 (node 5's log of the second failure): the node was frozen for 2.55 s until 30.468. On waking it took the requests in its sockets and, at 30.470440, the heartbeat that says draining. The six requests that the run counted had been sent 0.5 to 1.5 s before the acknowledgement and arrived 0.4 to 2.8 ms after it. So the node kept its promise: it passed nothing on after the acknowledgement.

Ruled out: requests begun after it (none); the links of the run, which reset what they held.

Change: the check allowed two arrivals of any kind after the acknowledgement. It allows none now of requests that were begun after it, and none later than the pages' bound (2.5 s) of the others.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -27,6 +27,9 @@
 	// clientNodes is the number of nodes that a client uses by turns, keeping a
 	// connection to each.
 	clientNodes = 6
+	// drainTime is how long requests may arrive at a server after its leaving was
+	// acknowledged, the site files' bound "drain".
+	drainTime = 2500 * time.Millisecond
 	// linkDraws tells the random draws of links from the others of a seed.
 	linkDraws = 7
 )
@@ -44,6 +47,10 @@
 		seed:  9,
 		cause: "as seed 3; later the run took the acknowledgement of a heartbeat that still said ready for one of the leaving",
 	},
+	{
+		seed:  36,
+		cause: "a node that wakes from a freeze takes the requests in its sockets before the heartbeat that says draining; the run allowed two",
+	},
 }
 
 // Guards the promises of the pages: writes run once, refusals are true, answers are
@@ -57,25 +64,6 @@
 	}
 }
 
-// openSeeds are seeds that failed once and are not traced.
-var openSeeds = []struct {
-	seed uint64
-	seen string
-}{
-	{
-		seed: 36,
-		seen: "four requests arrived at a server after its leaving was acknowledged, once beside six plays of the bench",
-	},
-}
-
-// Guards what TestSoak does. KNOWN-RED.txt lists it while there are open seeds.
-func TestSoakOpenSeeds(t *testing.T) {
-	binary := build(t)
-	for _, open := range openSeeds {
-		t.Run(fmt.Sprintf("seed %d", open.seed), func(t *testing.T) { run(t, binary, open.seed) })
-	}
-}
-
 func seeds() []uint64 {
 	if one, err := strconv.ParseUint(os.Getenv("LAGOONBARROW_SEED"), 10, 64); err == nil {
 		return []uint64{one}
@@ -310,10 +298,11 @@
 	}
 }
 
-// checkDrained checks that nothing arrived at a server after its leaving was
-// acknowledged, but for what was being sent at that moment.
+// checkDrained checks that no request of a client that began after a server's leaving
+// was acknowledged arrived there, and nothing later than the pages allow. What a node
+// has taken before may still be on its way: one that was frozen takes all that waits
+// in its sockets before the heartbeat.
 func (f *fleet) checkDrained() {
-	const crossing = 2
 	for _, n := range f.nodes {
 		n.mu.Lock()
 		acknowledged := n.acknowledged
@@ -321,13 +310,12 @@
 		if acknowledged.IsZero() {
 			continue
 		}
-		late := n.server.ArrivalsAfter(acknowledged)
-		if len(late) <= crossing {
-			continue
-		}
-		for _, arrival := range late {
-			f.t.Errorf("%s, begun %s after the leaving of server %d was acknowledged, arrived there %s after that",
-				arrival.Request, f.begunAt(arrival.Request).Sub(acknowledged), n.index, arrival.At.Sub(acknowledged))
+		for _, arrival := range n.server.ArrivalsAfter(acknowledged) {
+			begun := f.begunAt(arrival.Request).Sub(acknowledged)
+			late := arrival.At.Sub(acknowledged)
+			if begun > 0 || late > drainTime {
+				f.t.Errorf("%s, begun %s after the leaving of server %d was acknowledged, arrived there %s after that", arrival.Request, begun, n.index, late)
+			}
 		}
 	}
 }
