Parse the settings that were read, not the file again

Cause: the file was read at the start for the watcher and once more to parse it, and on a change by the watcher and once more by the reload. A change between two readings was met by the order of the readings only.

Change: ParseSettings takes the content; the watcher hands over what it has compared. The settings in force are those that it knows.

Tests: those of the settings and the watcher, with the same assertions; the trailing size limit is checked as before.

--- a/internal/cli/sidecar.go
+++ b/internal/cli/sidecar.go
@@ -40,12 +40,11 @@
 
 func runSidecar(command *cli.Context) error {
 	path := command.String("settings")
-	// Read first, so that a change meanwhile is noticed by the watcher.
 	content, err := os.ReadFile(path)
 	if err != nil {
 		return errors.Wrap(err, "cli: read settings")
 	}
-	settings, err := platform.LoadSettings(path)
+	settings, err := platform.ParseSettings(content)
 	if err != nil {
 		return err
 	}
@@ -79,7 +78,7 @@
 	watcher := reload.NewWatcher(reload.Config{
 		Path:    path,
 		Known:   content,
-		Changed: func() { reloadSettings(path, process, logger) },
+		Changed: func(content []byte) { reloadSettings(content, process, logger) },
 		Logger:  logger.Named("settings"),
 	})
 	go watcher.Run(ctx)
@@ -107,9 +106,9 @@
 	}
 }
 
-// reloadSettings checks the changed settings file and hands it to the process.
-func reloadSettings(path string, process *sidecar.Sidecar, logger hclog.Logger) {
-	settings, err := platform.LoadSettings(path)
+// reloadSettings checks the changed settings and hands them to the process.
+func reloadSettings(content []byte, process *sidecar.Sidecar, logger hclog.Logger) {
+	settings, err := platform.ParseSettings(content)
 	if err != nil {
 		logger.Error("the changed settings file is not valid; the present settings stay", "error", err)
 		return
--- a/internal/process/reload/watcher.go
+++ b/internal/process/reload/watcher.go
@@ -17,13 +17,12 @@
 // Config configures a Watcher.
 type Config struct {
 	Path string
-	// Known is the content that the settings in force were read from, or that the file
-	// had just before.
+	// Known is the content that the settings in force were read from.
 	Known []byte
 	// Interval is the time between two looks at the file; 2 s by default.
 	Interval time.Duration
-	// Changed is told that the file has other content than before.
-	Changed func()
+	// Changed is told the file's new content.
+	Changed func(content []byte)
 	Logger  hclog.Logger
 }
 
@@ -77,7 +76,7 @@
 		return
 	}
 	w.last = content
-	w.config.Changed()
+	w.config.Changed(content)
 }
 
 func (w *Watcher) read() (content []byte, known bool) {
--- a/internal/process/reload/watcher_test.go
+++ b/internal/process/reload/watcher_test.go
@@ -30,7 +30,7 @@
 				Path:     path,
 				Known:    []byte("one"),
 				Interval: row.interval,
-				Changed:  func() { changes <- struct{}{} },
+				Changed:  func([]byte) { changes <- struct{}{} },
 				Logger:   hclog.NewNullLogger(),
 			})
 			replace(t, path, "two")
@@ -89,7 +89,7 @@
 	watcher = NewWatcher(Config{
 		Path:    path,
 		Known:   []byte("one"),
-		Changed: func() { *told++ },
+		Changed: func([]byte) { *told++ },
 		Logger:  hclog.NewNullLogger(),
 	})
 	return watcher, told
