Look for lost nodes by instances, with one sender of messages

Cause: the remover had a copy of two fields of an instance beside the row's version, and a list made of both with one lock for each member; it and the feed declared the same interface, which is a part of Transport.

Change: the remover takes the directory's instances, as the feed does, and asks for the version of the one row that it looks at, before the look: a row that is written meanwhile is not removed, as before. MessageSender stands once, in the root package.

Tests: those of the remover, with the same assertions.

--- a/interfaces.go
+++ b/interfaces.go
@@ -82,14 +82,19 @@
 	Body []byte `msgpack:"body"`
 }
 
+// MessageSender sends control messages to other nodes.
+type MessageSender interface {
+	// Send sends a control message and returns the reply.
+	Send(ctx context.Context, to Address, message Message) (Message, error)
+}
+
 // Transport carries calls and control messages to other nodes.
 type Transport interface {
+	MessageSender
 	// Call sends a call and waits for the whole answer. ErrNotSent means that it
 	// was not run, ErrAnswerLost that it may have been.
 	// Cancelling ctx cancels the call at the callee.
 	Call(ctx context.Context, to Instance, call *Call) (*Answer, error)
-	// Send sends a control message and returns the reply.
-	Send(ctx context.Context, to Address, message Message) (Message, error)
 	// Broadcast sends a control message to all peers with an open connection,
 	// without waiting for replies.
 	Broadcast(ctx context.Context, message Message)
--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -36,11 +36,6 @@
 	startTime = 300 * time.Millisecond
 )
 
-// Sender sends control messages to nodes.
-type Sender interface {
-	Send(ctx context.Context, to lagoonbarrow.Address, message lagoonbarrow.Message) (lagoonbarrow.Message, error)
-}
-
 // Config configures a Feed.
 type Config struct {
 	Self  lagoonbarrow.InstanceID
@@ -48,7 +43,7 @@
 	Store lagoonbarrow.ChangeFeed
 	// Members returns the known nodes, in a slice of the caller's own.
 	Members func() []lagoonbarrow.Instance
-	Sender  Sender
+	Sender  lagoonbarrow.MessageSender
 	Cache   *Cache
 	Logger  hclog.Logger
 	// Now tells the time; time.Now by default.
--- a/internal/process/registration/remover.go
+++ b/internal/process/registration/remover.go
@@ -1,6 +1,7 @@
 package registration
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -26,27 +27,16 @@
 	kindPresence = "presence"
 )
 
-// Member is a node whose row is in the store.
-type Member struct {
-	ID   lagoonbarrow.InstanceID
-	Peer lagoonbarrow.Address
-	// Version is the version of the node's row.
-	Version lagoonbarrow.RowVersion
-}
-
-// Sender sends control messages to nodes.
-type Sender interface {
-	Send(ctx context.Context, to lagoonbarrow.Address, message lagoonbarrow.Message) (lagoonbarrow.Message, error)
-}
-
 // RemoverConfig configures a Remover.
 type RemoverConfig struct {
 	Self  lagoonbarrow.InstanceID
 	Store lagoonbarrow.RowStore
 	Table string
 	// Members returns all nodes, this one included.
-	Members func() []Member
-	Sender  Sender
+	Members func() []lagoonbarrow.Instance
+	// Version returns the version of a node's row.
+	Version func(id lagoonbarrow.InstanceID) lagoonbarrow.RowVersion
+	Sender  lagoonbarrow.MessageSender
 	Logger  hclog.Logger
 }
 
@@ -97,6 +87,8 @@
 		r.target = next.ID
 		r.missed = 0
 	}
+	// A row that is written meanwhile is that of a live node.
+	version := r.config.Version(next.ID)
 	err := r.reach(ctx, next)
 	if err == nil {
 		r.missed = 0
@@ -105,13 +97,13 @@
 	r.missed++
 	r.config.Logger.Info("a node can't be reached", "node", next.ID, "address", next.Peer, "missed", r.missed, "error", err)
 	if r.missed >= removeAfter {
-		r.remove(ctx, next)
+		r.remove(ctx, next.ID, version)
 	}
 }
 
 // reach asks the node at the member's address who it is. It returns ErrNotFound if
 // another node has the address now.
-func (r *Remover) reach(ctx context.Context, member Member) error {
+func (r *Remover) reach(ctx context.Context, member lagoonbarrow.Instance) error {
 	ctx, cancel := context.WithTimeout(ctx, presenceTimeout)
 	defer cancel()
 	reply, err := r.config.Sender.Send(ctx, member.Peer, lagoonbarrow.Message{
@@ -126,36 +118,33 @@
 	return nil
 }
 
-func (r *Remover) remove(ctx context.Context, member Member) {
+func (r *Remover) remove(ctx context.Context, id lagoonbarrow.InstanceID, version lagoonbarrow.RowVersion) {
 	_, err := r.config.Store.Put(ctx, lagoonbarrow.Write{
 		Table:    r.config.Table,
-		Key:      string(member.ID),
-		Expected: member.Version,
+		Key:      string(id),
+		Expected: version,
 		Delete:   true,
 	})
 	if err != nil {
 		// The row may have changed meanwhile; it is looked at again with the next version.
-		r.config.Logger.Warn("removing the row of a node failed", "node", member.ID, "version", member.Version, "error", err)
+		r.config.Logger.Warn("removing the row of a node failed", "node", id, "version", version, "error", err)
 		return
 	}
 	r.missed = 0
-	r.config.Logger.Info("removed the row of a node that can't be reached", "node", member.ID, "version", member.Version)
+	r.config.Logger.Info("removed the row of a node that can't be reached", "node", id, "version", version)
 }
 
 // successor returns the member after this node in the order of the ids' hashes.
-func successor(self lagoonbarrow.InstanceID, members []Member) (next Member, found bool) {
-	others := slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return m.ID == self })
+func successor(self lagoonbarrow.InstanceID, members []lagoonbarrow.Instance) (next lagoonbarrow.Instance, found bool) {
+	others := slices.DeleteFunc(slices.Clone(members), func(m lagoonbarrow.Instance) bool { return m.ID == self })
 	if len(others) == 0 {
-		return Member{}, false
+		return lagoonbarrow.Instance{}, false
 	}
 	from := xxhash.Sum64String(string(self))
 	// The distance wraps around, so that the last node looks for the first.
-	distance := func(m Member) uint64 { return xxhash.Sum64String(string(m.ID)) - from }
-	return slices.MinFunc(others, func(a, b Member) int {
-		if distance(a) < distance(b) {
-			return -1
-		}
-		return 1
+	distance := func(m lagoonbarrow.Instance) uint64 { return xxhash.Sum64String(string(m.ID)) - from }
+	return slices.MinFunc(others, func(a, b lagoonbarrow.Instance) int {
+		return cmp.Compare(distance(a), distance(b))
 	}), true
 }
 
--- a/internal/process/registration/remover_test.go
+++ b/internal/process/registration/remover_test.go
@@ -69,20 +69,20 @@
 			remover := NewRemover(RemoverConfig{
 				Self:  "self",
 				Store: store,
-				Members: func() []Member {
-					return []Member{
+				Members: func() []lagoonbarrow.Instance {
+					return []lagoonbarrow.Instance{
 						{
 							ID: "self",
 						},
 						{
-							ID:      "other",
-							Peer:    address,
-							Version: 7,
+							ID:   "other",
+							Peer: address,
 						},
 					}
 				},
-				Sender: nodes,
-				Logger: hclog.NewNullLogger(),
+				Version: func(lagoonbarrow.InstanceID) lagoonbarrow.RowVersion { return 7 },
+				Sender:  nodes,
+				Logger:  hclog.NewNullLogger(),
 			})
 			for look := range removeAfter {
 				if store.removed > 0 {
@@ -105,9 +105,9 @@
 
 // Guards against nodes that nobody looks for, and against a node that all look for.
 func TestEachNodeIsLookedForByOne(t *testing.T) {
-	var members []Member
+	var members []lagoonbarrow.Instance
 	for i := range 100 {
-		members = append(members, Member{
+		members = append(members, lagoonbarrow.Instance{
 			ID: lagoonbarrow.InstanceID(fmt.Sprintf("node-%d", i)),
 		})
 	}
@@ -138,7 +138,7 @@
 			},
 		},
 	})
-	err := remover.reach(context.Background(), Member{
+	err := remover.reach(context.Background(), lagoonbarrow.Instance{
 		ID:   "b",
 		Peer: "one",
 	})
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -187,7 +187,8 @@
 		Self:    s.settings.Instance,
 		Store:   s.config.Store,
 		Table:   directory.Table,
-		Members: s.rowMembers,
+		Members: s.directory.All,
+		Version: s.directory.Version,
 		Sender:  lateTransport{sidecar: s},
 		Logger:  s.config.Logger.Named("remover"),
 	})
@@ -440,25 +441,12 @@
 	return s.highest.Load() > uint64(s.routes.Version())
 }
 
-// rowMembers returns the nodes with their rows' versions.
-func (s *Sidecar) rowMembers() []registration.Member {
-	var members []registration.Member
-	for _, instance := range s.directory.All() {
-		members = append(members, registration.Member{
-			ID:      instance.ID,
-			Peer:    instance.Peer,
-			Version: s.directory.Version(instance.ID),
-		})
-	}
-	return members
-}
-
 // lateTransport refuses calls until the key of the nodes is known.
 type lateTransport struct {
 	sidecar *Sidecar
 }
 
-// Send implements feed.Sender.
+// Send implements lagoonbarrow.MessageSender.
 func (t lateTransport) Send(ctx context.Context, to lagoonbarrow.Address, message lagoonbarrow.Message) (lagoonbarrow.Message, error) {
 	if !t.sidecar.keys.known() {
 		return lagoonbarrow.Message{}, errors.Wrap(lagoonbarrow.ErrNotSent, "sidecar: the key of the nodes is not known yet")
