Peek at sockets in one place

The watch of client connections repeated the look of socket.Quiet, with another answer to an interrupted call: it asked again, Quiet took the connection for quiet. Both use Peek now, which asks again; a receive that doesn't block is not interrupted in practice.

Tests: connection, entry and backend packages with the race detector.

--- a/internal/connection/peer/socket/quiet.go
+++ b/internal/connection/peer/socket/quiet.go
@@ -23,12 +23,23 @@
 	var n int
 	var peekErr error
 	err = control.Read(func(descriptor uintptr) bool {
-		var one [1]byte
-		n, _, peekErr = syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, peekErr = Peek(descriptor)
 		return true
 	})
 	if err != nil || n > 0 {
 		return false
 	}
-	return peekErr == syscall.EAGAIN || peekErr == syscall.EWOULDBLOCK || peekErr == syscall.EINTR
+	return peekErr == syscall.EAGAIN || peekErr == syscall.EWOULDBLOCK
+}
+
+// Peek looks for a byte to read without blocking and without taking it. It returns 0
+// without an error when the other side has closed, and EAGAIN when there is none yet.
+func Peek(descriptor uintptr) (count int, err error) {
+	var one [1]byte
+	for {
+		count, _, err = syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		if err != syscall.EINTR {
+			return count, err
+		}
+	}
 }
--- a/internal/request/entry/disconnect.go
+++ b/internal/request/entry/disconnect.go
@@ -9,6 +9,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"lagoonbarrow/internal/connection/peer/socket"
 )
 
 // watch waits for the end of the connection of a request in progress.
@@ -56,11 +58,7 @@
 func (w *watch) closed() bool {
 	gone := false
 	err := w.raw.Read(func(descriptor uintptr) bool {
-		var buffer [1]byte
-		count, _, err := syscall.Recvfrom(int(descriptor), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		for err == syscall.EINTR {
-			count, _, err = syscall.Recvfrom(int(descriptor), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		}
+		count, err := socket.Peek(descriptor)
 		if err == syscall.EAGAIN {
 			return false
 		}
