--- a/internal/bench/policy.go
+++ b/internal/bench/policy.go
@@ -106,18 +106,10 @@
 	results := map[string]float64{}
 	r.eachVariant(func(variant string, f *fleet.Fleet) {
 		duration := warmUp + 10*time.Second
-		samples := load{
-			phases: []phase{
-				{
-					duration:  duration,
-					perSecond: 2 * registryCapacity,
-				},
-			},
-			kinds:   lookups,
-			resends: 3,
-			late:    time.Second,
-			seed:    r.config.Seed,
-		}.run(f)
+		offered := r.steady(duration, 2*registryCapacity, lookups)
+		offered.resends = 3
+		offered.late = time.Second
+		samples := offered.run(f)
 		r.series(variant, samples)
 		r.plotGoodput(variant, samples, duration)
 		results[variant] = goodput(samples, warmUp, duration) / registryCapacity
@@ -361,17 +353,9 @@
 	browsed := map[string]int{}
 	r.eachVariant(func(variant string, f *fleet.Fleet) {
 		duration := warmUp + 8*time.Second
-		samples := load{
-			phases: []phase{
-				{
-					duration:  duration,
-					perSecond: 2 * registryCapacity,
-				},
-			},
-			kinds: mixed,
-			late:  3 * time.Second,
-			seed:  r.config.Seed,
-		}.run(f)
+		offered := r.steady(duration, 2*registryCapacity, mixed)
+		offered.late = 3 * time.Second
+		samples := offered.run(f)
 		r.series(variant, samples)
 		for _, current := range of(samples, "filing", 0, duration) {
 			if !current.ok {
