Compute an instance's success once for its cost

The cost of each compared instance decayed its failures twice, on the path of every request. Forgetting instances and routes was the same loop over two maps; both call maps.DeleteFunc.

Tests: the placement package, unchanged.

--- a/internal/process/placement/chooser.go
+++ b/internal/process/placement/chooser.go
@@ -4,6 +4,7 @@
 package placement
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -155,8 +156,9 @@
 	if busy > 0 {
 		cost *= 1 + busyCost*busy
 	}
-	cost /= stats.success(now)
-	cost += failureCost * (1 - stats.success(now))
+	success := stats.success(now)
+	cost /= success
+	cost += failureCost * (1 - success)
 	if instance.Zone != c.config.Zone {
 		cost += zoneCost
 	}
@@ -178,22 +180,14 @@
 func (c *Chooser) Keep(ids map[lagoonbarrow.InstanceID]bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for id := range c.entries {
-		if !ids[id] {
-			delete(c.entries, id)
-		}
-	}
+	maps.DeleteFunc(c.entries, func(id lagoonbarrow.InstanceID, _ *entry) bool { return !ids[id] })
 }
 
 // KeepRoutes forgets the latencies of routes that are not in the list.
 func (c *Chooser) KeepRoutes(names map[lagoonbarrow.RouteName]bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for name := range c.routes {
-		if !names[name] {
-			delete(c.routes, name)
-		}
-	}
+	maps.DeleteFunc(c.routes, func(name lagoonbarrow.RouteName, _ *usual) bool { return !names[name] })
 }
 
 // Flight is a request under way.
