Log copies that were not confirmed for long

No line told: only the nodes that were avoided were logged, not the time that it took in total.

TestLateConfirmationIsLogged fails without it.

--- a/internal/process/feed/cache.go
+++ b/internal/process/feed/cache.go
@@ -127,6 +127,18 @@
 	}
 }
 
+// age returns the time since the copy of a table was last confirmed as the store's
+// newest, or 0 if there is no copy.
+func (c *Cache) age(table string) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	current := c.tables[table]
+	if current == nil {
+		return 0
+	}
+	return c.now().Sub(current.confirmedAt)
+}
+
 func (t *tableCopy) apply(change lagoonbarrow.Change) {
 	key := change.Row.Key
 	if change.Deleted {
--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -103,16 +103,25 @@
 		}
 		f.stopAvoiding(reader.ID)
 		changes := reply.tableChanges(table)
-		f.config.Cache.Apply(table, changes, reply.Version, reply.Age)
+		f.apply(table, changes, reply.Version, reply.Age, reader.ID)
 		return changes, reply.Version, nil
 	}
 	changes, version, err := f.config.Store.Changes(ctx, table, after, wait)
 	if err == nil {
-		f.config.Cache.Apply(table, changes, max(version, after), 0)
+		f.apply(table, changes, max(version, after), 0, "")
 	}
 	return changes, version, err
 }
 
+// apply applies changes from a node, or from the store if source is empty, to the copy of
+// a table. It logs how long the copy was without confirmation if that was too long.
+func (f *Feed) apply(table string, changes []lagoonbarrow.Change, version lagoonbarrow.RowVersion, age time.Duration, source lagoonbarrow.InstanceID) {
+	if unconfirmed := f.config.Cache.age(table); unconfirmed > maxAge {
+		f.config.Logger.Warn("the copy of a table was not confirmed for long", "table", table, "unconfirmed", unconfirmed.String(), "source", source, "age", age.String(), "changes", len(changes))
+	}
+	f.config.Cache.Apply(table, changes, version, age)
+}
+
 // query sends a request to a reader and returns its reply.
 func (f *Feed) query(ctx context.Context, reader lagoonbarrow.Instance, request changesRequest) (*changesReply, error) {
 	body, err := msgpack.Marshal(request)
--- a/internal/process/feed/feed_test.go
+++ b/internal/process/feed/feed_test.go
@@ -490,6 +490,26 @@
 	}
 }
 
+// Guards against a copy that stays old for long without a line in the log.
+func TestLateConfirmationIsLogged(t *testing.T) {
+	f := newFleet(1)
+	var lines bytes.Buffer
+	node := f.nodes[0]
+	node.feed.config.Logger = hclog.New(&hclog.LoggerOptions{
+		Output: &lines,
+	})
+	for _, age := range []time.Duration{0, 2 * maxAge} {
+		lines.Reset()
+		node.cache.Replace(tableName, nil, 0, age)
+		if _, _, err := node.feed.Changes(context.Background(), tableName, 0, time.Millisecond); err != nil {
+			t.Fatal(err)
+		}
+		if logged := strings.Contains(lines.String(), "unconfirmed="); logged != (age > maxAge) {
+			t.Errorf("a copy that is %s old: log %q", age, lines.String())
+		}
+	}
+}
+
 // Guards against readers that are avoided, and a store that gets more calls, because the
 // node itself stopped a query.
 func TestStoppedQueryAvoidsNoReader(t *testing.T) {
