Bound the search for changes by the age of the copy

What callers saw: requests handled by a configuration that had been replaced for longer than allowed.

Cause: each step of a search had a time limit of its own, and the limits added up: 1.1 s for each of two silent readers before the store was read, 2.2 s in all. A node that the store turned away asked two readers and the store only, again and again, and a reader never asked another node, so changes came in force 13 to 19 s late, when the store served it again.

Change: each step has time until the node's copy reaches an age (1.2 s, 1.4 s, then the store). If the store gives no response, other nodes are queried meanwhile, and before the store while it has failed less than 3 s ago; one with a recent copy becomes the second source for 10 s. A node answers a waiting query when its copy is confirmed, so the ages of two nodes don't add up.

TestChangeIsInTimeWhenTheReadersLoseTheStore passed before too.

--- /dev/null
+++ b/internal/process/feed/bound_test.go
@@ -0,0 +1,222 @@
+package feed
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lagoonbarrow"
+)
+
+const (
+	// applyBound is the time in which a change has to reach all nodes that work.
+	applyBound = 2 * time.Second
+	// boundWait is the time that a query for changes waits.
+	boundWait = 800 * time.Millisecond
+	// boundStagger is the time between the starts of two nodes.
+	boundStagger = 130 * time.Millisecond
+	// silentCallTime is how long a call to a silent store takes beyond its wait.
+	silentCallTime = time.Second
+)
+
+// storeFault says how the store treats one node.
+type storeFault string
+
+const (
+	storeRefuses storeFault = "refuses"
+	storeSilent  storeFault = "silent"
+)
+
+// nodeStore is the store as one node sees it.
+type nodeStore struct {
+	*fakeStore
+	mu    sync.Mutex
+	fault storeFault
+}
+
+func (s *nodeStore) setFault(fault storeFault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = fault
+}
+
+// Changes implements lagoonbarrow.ChangeFeed. A call that waits when the store falls
+// silent gets no response either.
+func (s *nodeStore) Changes(ctx context.Context, table string, after lagoonbarrow.RowVersion, wait time.Duration) ([]lagoonbarrow.Change, lagoonbarrow.RowVersion, error) {
+	started := time.Now()
+	if s.currentFault() == storeRefuses {
+		return nil, 0, lagoonbarrow.ErrUnavailable
+	}
+	changes, version, err := s.fakeStore.Changes(ctx, table, after, wait)
+	switch s.currentFault() {
+	case storeRefuses:
+		return nil, 0, lagoonbarrow.ErrUnavailable
+	case storeSilent:
+		ctx, cancel := context.WithDeadline(ctx, started.Add(wait+silentCallTime))
+		defer cancel()
+		<-ctx.Done()
+		return nil, 0, lagoonbarrow.ErrUnavailable
+	default:
+		return changes, version, err
+	}
+}
+
+func (s *nodeStore) currentFault() storeFault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fault
+}
+
+// boundFleet is a fleet whose nodes follow a table with the store as each sees it.
+type boundFleet struct {
+	*fleet
+	stores []*nodeStore
+}
+
+// newBoundFleet starts a fleet, one node after the other, and lets it run for a time. The
+// time decides how old the queries in progress and the copies are.
+func newBoundFleet(t *testing.T, count int, phase time.Duration) *boundFleet {
+	b := &boundFleet{
+		fleet: newFleet(count),
+	}
+	for _, n := range b.nodes {
+		store := &nodeStore{
+			fakeStore: b.store,
+		}
+		n.feed.config.Store = store
+		b.stores = append(b.stores, store)
+	}
+	b.followStaggered(t, nil, boundWait, boundStagger)
+	time.Sleep(5*time.Second + phase)
+	return b
+}
+
+// readers returns the indexes of the nodes that the others query first.
+func (b *boundFleet) readers() map[int]bool {
+	indexes := map[int]bool{}
+	for _, source := range b.nodes[0].feed.sources() {
+		for i := range b.nodes {
+			if memberID(i) == source.ID {
+				indexes[i] = true
+			}
+		}
+	}
+	return indexes
+}
+
+// checkBound puts a change and fails unless all nodes but the excluded ones have it
+// within the bound.
+func (b *boundFleet) checkBound(t *testing.T, excluded map[int]bool) {
+	t.Helper()
+	b.store.put("a", false)
+	time.Sleep(applyBound)
+	for i, n := range b.nodes {
+		if !excluded[i] && n.cache.changesAfter(tableName, 0).version < 1 {
+			t.Errorf("%s doesn't have the change after %s", memberID(i), applyBound)
+		}
+	}
+}
+
+// checkPhases runs a test at many times between a change and a fault.
+func checkPhases(t *testing.T, test func(t *testing.T, phase time.Duration)) {
+	for phase := 20 * time.Millisecond; phase < 4*time.Second; phase += 70 * time.Millisecond {
+		t.Run(fmt.Sprint(phase), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { test(t, phase) })
+		})
+	}
+}
+
+// Guards against a change that is late because the queries to two silent readers add up.
+func TestChangeIsInTimeWhenBothReadersFallSilent(t *testing.T) {
+	checkPhases(t, func(t *testing.T, phase time.Duration) {
+		b := newBoundFleet(t, 8, phase)
+		silent := b.readers()
+		for i := range silent {
+			b.nodes[i].setFaults(true, false)
+		}
+		b.checkBound(t, silent)
+	})
+}
+
+// Guards against a change that is late because a reader without the store passes on its
+// old copy.
+func TestChangeIsInTimeWhenTheReadersLoseTheStore(t *testing.T) {
+	for _, fault := range []storeFault{storeRefuses, storeSilent} {
+		t.Run(string(fault), func(t *testing.T) {
+			checkPhases(t, func(t *testing.T, phase time.Duration) {
+				b := newBoundFleet(t, 8, phase)
+				lost := b.readers()
+				for i := range lost {
+					b.stores[i].setFault(fault)
+				}
+				b.checkBound(t, lost)
+			})
+		})
+	}
+}
+
+// Guards against nodes that get no changes while the store turns them away, although
+// other nodes have the changes.
+func TestChangeReachesNodesThatTheStoreTurnsAway(t *testing.T) {
+	for _, fault := range []storeFault{storeRefuses, storeSilent} {
+		t.Run(string(fault), func(t *testing.T) {
+			checkPhases(t, func(t *testing.T, phase time.Duration) {
+				b := newBoundFleet(t, 8, 20*time.Millisecond)
+				served := 7
+				for b.readers()[served] {
+					served--
+				}
+				for i, store := range b.stores {
+					if i != served {
+						store.setFault(fault)
+					}
+				}
+				time.Sleep(10*time.Second + phase)
+				b.checkBound(t, nil)
+			})
+		})
+	}
+}
+
+// Guards against nodes that repeat their queries without a pause while the store turns
+// them away.
+func TestTurnedAwayNodesSendFewQueries(t *testing.T) {
+	const (
+		length              = 30 * time.Second
+		maxQueriesPerSecond = 10
+	)
+	tests := []struct {
+		name   string
+		fault  storeFault
+		served bool
+	}{
+		{"refused", storeRefuses, true},
+		{"silent", storeSilent, true},
+		{"refused, all nodes", storeRefuses, false},
+		{"silent, all nodes", storeSilent, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const nodes = 60
+				b := newBoundFleet(t, nodes, 0)
+				for i, store := range b.stores {
+					if i > 0 || !test.served {
+						store.setFault(test.fault)
+					}
+				}
+				before := b.requestCount()
+				calls := b.store.callCount()
+				time.Sleep(length)
+				seconds := int(length / time.Second)
+				if queries := b.requestCount() - before; queries > maxQueriesPerSecond*nodes*seconds {
+					t.Errorf("%d queries of %d nodes in %s", queries, nodes, length)
+				}
+				t.Logf("%d queries, %d calls to the store", b.requestCount()-before, b.store.callCount()-calls)
+			})
+		})
+	}
+}
--- a/internal/process/feed/cache.go
+++ b/internal/process/feed/cache.go
@@ -35,8 +35,8 @@
 	version      lagoonbarrow.RowVersion
 	// confirmedAt is the latest time at which version was the newest of the store.
 	confirmedAt time.Time
-	// changed is closed and replaced when rows change.
-	changed chan struct{}
+	// updated is closed and replaced when rows change or the version is confirmed again.
+	updated chan struct{}
 }
 
 // NewCache returns an empty cache.
@@ -64,7 +64,7 @@
 		startVersion: version,
 		version:      version,
 		confirmedAt:  c.now().Add(-age),
-		changed:      make(chan struct{}),
+		updated:      make(chan struct{}),
 	}
 	for _, row := range rows {
 		replacement.rows[row.Key] = row
@@ -72,7 +72,7 @@
 	c.tables[table] = replacement
 	if previous != nil {
 		replacement.inheritHistory(previous)
-		close(previous.changed)
+		close(previous.updated)
 	}
 }
 
@@ -118,12 +118,14 @@
 		current.apply(change)
 	}
 	current.version = version
-	if confirmed := c.now().Add(-age); confirmed.After(current.confirmedAt) {
-		current.confirmedAt = confirmed
+	confirmedAt := c.now().Add(-age)
+	confirmed := confirmedAt.After(current.confirmedAt)
+	if confirmed {
+		current.confirmedAt = confirmedAt
 	}
-	if len(changes) > 0 {
-		close(current.changed)
-		current.changed = make(chan struct{})
+	if confirmed || len(changes) > 0 {
+		close(current.updated)
+		current.updated = make(chan struct{})
 	}
 }
 
@@ -159,10 +161,12 @@
 	historyLost bool
 	changes     []lagoonbarrow.Change
 	version     lagoonbarrow.RowVersion
-	// age is the time since version was last confirmed as the store's newest.
-	age time.Duration
-	// changed is closed when the copy has newer changes.
-	changed <-chan struct{}
+	// age is the time since version was last confirmed as the store's newest, which was
+	// at confirmedAt.
+	age         time.Duration
+	confirmedAt time.Time
+	// updated is closed when the copy has newer changes or is confirmed again.
+	updated <-chan struct{}
 }
 
 // changesAfter returns the changes of a table after a version.
@@ -178,7 +182,8 @@
 		historyLost: version < current.startVersion,
 		version:     current.version,
 		age:         c.now().Sub(current.confirmedAt),
-		changed:     current.changed,
+		confirmedAt: current.confirmedAt,
+		updated:     current.updated,
 	}
 	for _, row := range current.rows {
 		if row.Version > version {
--- /dev/null
+++ b/internal/process/feed/changes.go
@@ -0,0 +1,331 @@
+package feed
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"lagoonbarrow"
+)
+
+// The steps of a search for changes are bounded by the age of the node's copy, so that
+// their times don't add up. A change has to be in force on all nodes within 2 s.
+const (
+	// firstSourceSlack is how much older than the wait the copy may become before the
+	// first source is abandoned, and secondSourceSlack the same for the second source.
+	firstSourceSlack  = 400 * time.Millisecond
+	secondSourceSlack = 600 * time.Millisecond
+	// replyMargin is the part of a query's time that is left for its reply.
+	replyMargin = 100 * time.Millisecond
+	// minProgress is how much more recent than the node's own copy an old reply without
+	// changes has to be. Less would repeat the query at once.
+	minProgress = 50 * time.Millisecond
+	// storeReplyTimeout is the time that a response of the store may take beyond the wait
+	// while other nodes are queried only after it.
+	storeReplyTimeout = 200 * time.Millisecond
+	// storeRetryInterval is the time after a failed call to the store in which other nodes
+	// are queried before it.
+	storeRetryInterval = 3 * time.Second
+	// patientReadTimeout bounds the last read of the store, which may be slow.
+	patientReadTimeout = 2 * time.Second
+	// maxDetours is the number of further nodes that are queried in one round.
+	maxDetours = 4
+	// detourTimeout bounds the query to one of them, which doesn't wait for changes.
+	detourTimeout = 200 * time.Millisecond
+	// detourInterval is the time between the first two rounds. It doubles with each round.
+	detourInterval = 400 * time.Millisecond
+	// detourDuration is how long a node that had a recent copy serves as second source.
+	detourDuration = 10 * time.Second
+	// recentSlack is how much older than the wait the copy of a node may be to count as
+	// recent.
+	recentSlack = 200 * time.Millisecond
+)
+
+// errNoProgress is the cause of a reply that is not more recent than the node's copy.
+var errNoProgress = errors.Wrap(lagoonbarrow.ErrUnavailable, "feed: the node's copy is not more recent")
+
+// search is one search for the changes of a table after a version.
+type search struct {
+	feed  *Feed
+	table string
+	after lagoonbarrow.RowVersion
+	wait  time.Duration
+	// queried holds this node and the sources that were queried.
+	queried map[lagoonbarrow.InstanceID]bool
+}
+
+// result holds the changes of a table up to a version.
+type result struct {
+	changes []lagoonbarrow.Change
+	version lagoonbarrow.RowVersion
+}
+
+// Changes waits for changes. It queries the readers, then the store, then other nodes, in
+// case the store doesn't serve this node. A reader itself queries the store.
+func (f *Feed) Changes(ctx context.Context, table string, after lagoonbarrow.RowVersion, wait time.Duration) ([]lagoonbarrow.Change, lagoonbarrow.RowVersion, error) {
+	s := &search{
+		feed:  f,
+		table: table,
+		after: after,
+		wait:  wait,
+		queried: map[lagoonbarrow.InstanceID]bool{
+			f.config.Self: true,
+		},
+	}
+	found, err := s.run(ctx)
+	if err != nil {
+		return nil, 0, err
+	}
+	return found.changes, found.version, nil
+}
+
+// run takes the steps of the search in order until one succeeds.
+func (s *search) run(ctx context.Context) (*result, error) {
+	steps := []func(context.Context) (*result, error){
+		s.querySources,
+		s.queryDetoursFirst,
+		s.readStoreAndDetour,
+	}
+	var found *result
+	var err error
+	for _, step := range steps {
+		found, err = step(ctx)
+		if err == nil || errors.Is(err, lagoonbarrow.ErrHistoryLost) {
+			return found, err
+		}
+		if ctx.Err() != nil {
+			return nil, errors.Wrap(lagoonbarrow.ErrUnavailable, ctx.Err().Error())
+		}
+	}
+	return nil, err
+}
+
+// querySources queries the sources in order. Each of them has time until the copy reaches
+// an age. A source that is this node itself stands for the store.
+func (s *search) querySources(ctx context.Context) (*result, error) {
+	maxAges := [maxSources]time.Duration{s.wait + firstSourceSlack, s.wait + secondSourceSlack}
+	err := errors.Wrap(lagoonbarrow.ErrUnavailable, "feed: no reader is known")
+	for i, source := range s.feed.sources() {
+		var found *result
+		if source.ID == s.feed.config.Self {
+			found, err = s.readStore(ctx)
+		} else {
+			found, err = s.querySource(ctx, source, max(maxAges[i]-s.age(), detourTimeout))
+		}
+		if err == nil || errors.Is(err, lagoonbarrow.ErrHistoryLost) || ctx.Err() != nil {
+			return found, err
+		}
+	}
+	return nil, err
+}
+
+// readStore waits for changes at the store for as long as the copy may stay without
+// confirmation. It fails at once if a call to the store has failed a short time ago.
+func (s *search) readStore(ctx context.Context) (*result, error) {
+	if !s.feed.storeUsable() {
+		return nil, errors.Wrap(lagoonbarrow.ErrUnavailable, "feed: the store has just failed")
+	}
+	wait := s.storeWait()
+	return s.readStoreUntil(ctx, wait, wait+firstSourceSlack)
+}
+
+// storeWait returns how long a call to the store may wait for changes.
+func (s *search) storeWait() time.Duration {
+	return max(s.wait-s.age(), 0)
+}
+
+// queryDetoursFirst queries other nodes if the store has failed a short time ago.
+func (s *search) queryDetoursFirst(ctx context.Context) (*result, error) {
+	if s.feed.storeUsable() {
+		return nil, errors.Wrap(lagoonbarrow.ErrUnavailable, "feed: the store is queried first")
+	}
+	return s.queryDetours(ctx)
+}
+
+// outcome is the outcome of a call to the store.
+type outcome struct {
+	found *result
+	err   error
+}
+
+// readStoreAndDetour reads the store, which may be slow, and queries other nodes while it
+// gives no response.
+func (s *search) readStoreAndDetour(ctx context.Context) (*result, error) {
+	wait := s.storeWait()
+	ctx, cancel := context.WithTimeout(ctx, wait+patientReadTimeout)
+	defer cancel()
+	read := make(chan outcome, 1)
+	go s.feed.panics.Run(ctx, "read of the store", func(ctx context.Context) {
+		found, err := s.readStoreUntil(ctx, wait, wait+patientReadTimeout)
+		read <- outcome{
+			found: found,
+			err:   err,
+		}
+	})
+	interval := detourInterval
+	timer := time.NewTimer(wait + storeReplyTimeout)
+	defer timer.Stop()
+	for {
+		select {
+		case done := <-read:
+			if done.err != nil && !errors.Is(done.err, lagoonbarrow.ErrHistoryLost) {
+				return s.queryDetoursAfter(ctx, done.err)
+			}
+			return done.found, done.err
+		case <-timer.C:
+			found, err := s.queryDetours(ctx)
+			if err == nil {
+				s.feed.recordStoreFailure()
+				return found, nil
+			}
+			timer.Reset(interval)
+			interval *= 2
+		}
+	}
+}
+
+// queryDetoursAfter queries other nodes and returns the store's error if they have
+// nothing recent.
+func (s *search) queryDetoursAfter(ctx context.Context, storeErr error) (*result, error) {
+	found, err := s.queryDetours(ctx)
+	if err != nil {
+		return nil, storeErr
+	}
+	return found, nil
+}
+
+// readStoreUntil calls the store with a time limit.
+func (s *search) readStoreUntil(ctx context.Context, wait, timeout time.Duration) (*result, error) {
+	limited, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	changes, version, err := s.feed.config.Store.Changes(limited, s.table, s.after, wait)
+	if err != nil {
+		if ctx.Err() == nil && !errors.Is(err, lagoonbarrow.ErrHistoryLost) {
+			s.feed.recordStoreFailure()
+		}
+		return nil, err
+	}
+	s.feed.recordStoreSuccess()
+	version = max(version, s.after)
+	s.feed.apply(s.table, changes, version, 0, "")
+	return &result{
+		changes: changes,
+		version: version,
+	}, nil
+}
+
+// querySource queries a node that should have a recent copy, and avoids it if it has not.
+func (s *search) querySource(ctx context.Context, node lagoonbarrow.Instance, timeout time.Duration) (*result, error) {
+	s.queried[node.ID] = true
+	wait := time.Duration(0)
+	if s.wait > 0 {
+		wait = max(timeout-replyMargin, 0)
+	}
+	reply, err := s.query(ctx, node, wait, timeout)
+	if err == nil {
+		err = s.check(reply)
+	}
+	if err != nil {
+		// A query that ended with the caller says nothing about the node.
+		if ctx.Err() == nil {
+			s.feed.avoid(node.ID, s.table, err)
+		}
+		// The history that a node has lost, the store may still have.
+		return nil, errors.Wrap(lagoonbarrow.ErrUnavailable, err.Error())
+	}
+	s.feed.stopAvoiding(node.ID)
+	return s.accept(reply, node.ID), nil
+}
+
+// queryDetours queries a few other nodes. It answers the load of a store that serves some
+// nodes only: any node that it serves, and each that has queried one, has a recent copy.
+func (s *search) queryDetours(ctx context.Context) (*result, error) {
+	err := errors.Wrap(lagoonbarrow.ErrUnavailable, "feed: no other node is known")
+	for _, node := range s.detours() {
+		var reply *changesReply
+		reply, err = s.query(ctx, node, 0, detourTimeout)
+		if err == nil {
+			err = s.check(reply)
+		}
+		if err == nil {
+			s.feed.setDetour(node.ID)
+			return s.accept(reply, node.ID), nil
+		}
+		if ctx.Err() != nil {
+			return nil, err
+		}
+		if errors.Is(err, lagoonbarrow.ErrNotSent) {
+			s.feed.avoid(node.ID, s.table, err)
+		}
+	}
+	return nil, errors.Wrap(lagoonbarrow.ErrUnavailable, err.Error())
+}
+
+// detours returns random nodes that were not queried yet.
+func (s *search) detours() []lagoonbarrow.Instance {
+	members := s.feed.usable()
+	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	var nodes []lagoonbarrow.Instance
+	for _, member := range members {
+		if len(nodes) == maxDetours {
+			break
+		}
+		if !s.queried[member.ID] {
+			nodes = append(nodes, member)
+		}
+	}
+	return nodes
+}
+
+// age returns the time since the node's copy was last confirmed as the store's newest.
+func (s *search) age() time.Duration {
+	return s.feed.config.Cache.age(s.table)
+}
+
+// check returns an error unless the reply has changes or is recent.
+func (s *search) check(reply *changesReply) error {
+	if err := reply.check(s.after); err != nil {
+		return err
+	}
+	if len(reply.Changes) == 0 && reply.Age > s.wait+recentSlack && reply.Age > s.age()-minProgress {
+		return errors.Wrapf(errNoProgress, "feed: copy of %s", reply.Age)
+	}
+	return nil
+}
+
+// accept applies the reply of a node to this node's copy.
+func (s *search) accept(reply *changesReply, source lagoonbarrow.InstanceID) *result {
+	changes := reply.tableChanges(s.table)
+	s.feed.apply(s.table, changes, reply.Version, reply.Age, source)
+	return &result{
+		changes: changes,
+		version: reply.Version,
+	}
+}
+
+// query sends a request to a node, which may wait for changes, and returns its reply.
+func (s *search) query(ctx context.Context, node lagoonbarrow.Instance, wait, timeout time.Duration) (*changesReply, error) {
+	body, err := msgpack.Marshal(changesRequest{
+		Table: s.table,
+		After: s.after,
+		Wait:  wait,
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "feed: encode request")
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	response, err := s.feed.config.Sender.Send(ctx, node.Peer, lagoonbarrow.Message{
+		Kind: kindChanges,
+		Body: body,
+	})
+	if err != nil {
+		return nil, err
+	}
+	reply := &changesReply{}
+	err = msgpack.Unmarshal(response.Body, reply)
+	return reply, errors.Wrap(err, "feed: decode reply")
+}
--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -10,10 +10,9 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
-	"github.com/pkg/errors"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/process/panics"
 )
 
 const (
@@ -27,9 +26,6 @@
 	// maxAge is the age above which a node's copy counts as stale. Readers receive a
 	// response from the store more often.
 	maxAge = 1500 * time.Millisecond
-	// replyTimeout is the time that a node's reply may take beyond the requested wait. A
-	// frozen or disconnected reader is avoided after it.
-	replyTimeout = 300 * time.Millisecond
 )
 
 // Config configures a Feed.
@@ -49,10 +45,17 @@
 // Feed implements lagoonbarrow.ChangeFeed over the store and other nodes.
 type Feed struct {
 	config Config
+	panics *panics.Reporter
 
 	mu sync.Mutex
 	// avoided holds the nodes that gave no useful reply.
 	avoided map[lagoonbarrow.InstanceID]avoidance
+	// storeFailedAt is the time of the last call to the store if it failed.
+	storeFailedAt time.Time
+	// detour is a node that had a recent copy when the sources and the store had none. It
+	// is the second source until detourUntil.
+	detour      lagoonbarrow.InstanceID
+	detourUntil time.Time
 }
 
 var _ lagoonbarrow.ChangeFeed = (*Feed)(nil)
@@ -64,6 +67,7 @@
 	}
 	return &Feed{
 		config:  config,
+		panics:  panics.NewReporter(config.Logger),
 		avoided: map[lagoonbarrow.InstanceID]avoidance{},
 	}
 }
@@ -73,44 +77,29 @@
 func (f *Feed) Rows(ctx context.Context, table string) ([]lagoonbarrow.Row, lagoonbarrow.RowVersion, error) {
 	rows, version, err := f.config.Store.Rows(ctx, table)
 	if err == nil {
+		f.recordStoreSuccess()
 		f.config.Cache.Replace(table, rows, version, 0)
 	}
 	return rows, version, err
 }
 
-// Changes waits for changes from a reader. It uses the store if this node is itself a
-// reader or no reader gives a useful reply.
-func (f *Feed) Changes(ctx context.Context, table string, after lagoonbarrow.RowVersion, wait time.Duration) ([]lagoonbarrow.Change, lagoonbarrow.RowVersion, error) {
-	for _, reader := range f.sources() {
-		if reader.ID == f.config.Self {
-			break
-		}
-		reply, err := f.query(ctx, reader, changesRequest{
-			Table: table,
-			After: after,
-			Wait:  wait,
-		})
-		if err == nil {
-			err = reply.check(after)
-		}
-		if err != nil && ctx.Err() != nil {
-			// The query ended with the caller, which says nothing about the reader.
-			return nil, 0, errors.Wrap(lagoonbarrow.ErrUnavailable, ctx.Err().Error())
-		}
-		if err != nil {
-			f.avoid(reader.ID, table, err)
-			continue
-		}
-		f.stopAvoiding(reader.ID)
-		changes := reply.tableChanges(table)
-		f.apply(table, changes, reply.Version, reply.Age, reader.ID)
-		return changes, reply.Version, nil
-	}
-	changes, version, err := f.config.Store.Changes(ctx, table, after, wait)
-	if err == nil {
-		f.apply(table, changes, max(version, after), 0, "")
-	}
-	return changes, version, err
+// storeUsable reports whether the store may be called again after a failed call.
+func (f *Feed) storeUsable() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.storeFailedAt.IsZero() || f.config.Now().Sub(f.storeFailedAt) >= storeRetryInterval
+}
+
+func (f *Feed) recordStoreFailure() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.storeFailedAt = f.config.Now()
+}
+
+func (f *Feed) recordStoreSuccess() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.storeFailedAt = time.Time{}
 }
 
 // apply applies changes from a node, or from the store if source is empty, to the copy of
@@ -122,26 +111,6 @@
 	f.config.Cache.Apply(table, changes, version, age)
 }
 
-// query sends a request to a reader and returns its reply.
-func (f *Feed) query(ctx context.Context, reader lagoonbarrow.Instance, request changesRequest) (*changesReply, error) {
-	body, err := msgpack.Marshal(request)
-	if err != nil {
-		return nil, errors.Wrap(err, "feed: encode request")
-	}
-	ctx, cancel := context.WithTimeout(ctx, request.Wait+replyTimeout)
-	defer cancel()
-	response, err := f.config.Sender.Send(ctx, reader.Peer, lagoonbarrow.Message{
-		Kind: kindChanges,
-		Body: body,
-	})
-	if err != nil {
-		return nil, err
-	}
-	reply := &changesReply{}
-	err = msgpack.Unmarshal(response.Body, reply)
-	return reply, errors.Wrap(err, "feed: decode reply")
-}
-
 // avoid excludes a node from queries for a time that depends on the cause.
 func (f *Feed) avoid(id lagoonbarrow.InstanceID, table string, cause error) {
 	f.mu.Lock()
@@ -159,17 +128,45 @@
 	delete(f.avoided, id)
 }
 
+// setDetour makes a node the second source for a time.
+func (f *Feed) setDetour(id lagoonbarrow.InstanceID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.detour = id
+	f.detourUntil = f.config.Now().Add(detourDuration)
+}
+
+// currentDetour returns the node that is the second source, or "".
+func (f *Feed) currentDetour() lagoonbarrow.InstanceID {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.config.Now().After(f.detourUntil) {
+		return ""
+	}
+	return f.detour
+}
+
 // sources returns the nodes to query, in this order, according to this node's members.
 // The reader of its own zone is first, so that a change crosses to a zone once. A node
 // that finds itself in the list reads the store. Nodes whose members differ may read it
 // too.
 func (f *Feed) sources() []lagoonbarrow.Instance {
-	candidates := readers(f.usable(), f.config.Zone)
+	members := f.usable()
+	candidates := readers(members, f.config.Zone)
 	slices.SortFunc(candidates, reader.compare)
 	var selected []lagoonbarrow.Instance
 	for _, candidate := range candidates[:min(maxSources, len(candidates))] {
 		selected = append(selected, *candidate.member)
 	}
+	detour := f.currentDetour()
+	if detour == "" || len(selected) == 0 || selected[0].ID == detour {
+		return selected
+	}
+	for _, member := range members {
+		if member.ID == detour {
+			return append(selected[:1], member)
+		}
+	}
 	return selected
 }
 
--- a/internal/process/feed/feed_test.go
+++ b/internal/process/feed/feed_test.go
@@ -123,10 +123,18 @@
 	zones int
 
 	mu sync.Mutex
-	// crossZoneRequests counts the requests from one zone to another.
+	// requests counts the requests between nodes, and crossZoneRequests those from one
+	// zone to another.
+	requests          int
 	crossZoneRequests int
 }
 
+func (f *fleet) requestCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.requests
+}
+
 func (f *fleet) crossZoneCount() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -216,11 +224,12 @@
 		if to != lagoonbarrow.Address(memberID(i)) {
 			continue
 		}
+		f.mu.Lock()
+		f.requests++
 		if f.zone(i) != s.zone {
-			f.mu.Lock()
 			f.crossZoneRequests++
-			f.mu.Unlock()
 		}
+		f.mu.Unlock()
 		n.mu.Lock()
 		hangs, fails := n.hangs, n.fails
 		n.mu.Unlock()
@@ -231,7 +240,15 @@
 			<-ctx.Done()
 			return lagoonbarrow.Message{}, lagoonbarrow.ErrAnswerLost
 		}
-		return n.handler.HandleMessage(ctx, "", message)
+		reply, err := n.handler.HandleMessage(ctx, "", message)
+		n.mu.Lock()
+		hangs = n.hangs
+		n.mu.Unlock()
+		if hangs {
+			<-ctx.Done()
+			return lagoonbarrow.Message{}, lagoonbarrow.ErrAnswerLost
+		}
+		return reply, err
 	}
 	return lagoonbarrow.Message{}, lagoonbarrow.ErrNotSent
 }
@@ -250,6 +267,13 @@
 // follow makes all nodes but the excluded ones read the table's changes until the test
 // ends.
 func (f *fleet) follow(t *testing.T, excluded map[int]bool) {
+	t.Helper()
+	f.followStaggered(t, excluded, 100*time.Millisecond, 0)
+}
+
+// followStaggered is follow with queries that wait for the given time. Each node starts
+// by stagger later than the one before.
+func (f *fleet) followStaggered(t *testing.T, excluded map[int]bool, wait, stagger time.Duration) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
@@ -260,12 +284,13 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
+			time.Sleep(time.Duration(i) * stagger)
 			version := lagoonbarrow.RowVersion(0)
 			hasRows := false
 			for ctx.Err() == nil {
 				var err error
 				if hasRows {
-					_, version, err = n.feed.Changes(ctx, tableName, version, 100*time.Millisecond)
+					_, version, err = n.feed.Changes(ctx, tableName, version, wait)
 				} else {
 					_, version, err = n.feed.Rows(ctx, tableName)
 				}
--- a/internal/process/feed/messages.go
+++ b/internal/process/feed/messages.go
@@ -54,7 +54,8 @@
 }
 
 // HandleMessage answers at once if there are changes, the copy is stale or missing, or its
-// history is lost. Otherwise it waits for changes for the requested time.
+// history is lost. Otherwise it waits for the requested time, until there are changes or
+// the copy is confirmed again.
 func (h *Handler) HandleMessage(ctx context.Context, _ lagoonbarrow.InstanceID, message lagoonbarrow.Message) (lagoonbarrow.Message, error) {
 	var request changesRequest
 	if err := msgpack.Unmarshal(message.Body, &request); err != nil {
@@ -73,19 +74,24 @@
 func (h *Handler) answer(ctx context.Context, request changesRequest) changesReply {
 	timer := time.NewTimer(min(request.Wait, maxRequestWait))
 	defer timer.Stop()
-	for {
-		found := h.Cache.changesAfter(request.Table, request.After)
-		if !found.hasCopy || found.historyLost || found.age > maxAge || len(found.changes) > 0 {
-			return newReply(found)
-		}
+	found := h.Cache.changesAfter(request.Table, request.After)
+	confirmedAt := found.confirmedAt
+	for found.mayBecomeUseful() && found.confirmedAt.Sub(confirmedAt) < minProgress {
 		select {
-		case <-found.changed:
+		case <-found.updated:
+			found = h.Cache.changesAfter(request.Table, request.After)
 			continue
 		case <-timer.C:
 		case <-ctx.Done():
 		}
 		return newReply(h.Cache.changesAfter(request.Table, request.After))
 	}
+	return newReply(found)
+}
+
+// mayBecomeUseful reports whether waiting may give changes or a more recent copy.
+func (c *changeSet) mayBecomeUseful() bool {
+	return c.hasCopy && !c.historyLost && c.age <= maxAge && len(c.changes) == 0
 }
 
 func newReply(found changeSet) changesReply {
@@ -107,14 +113,14 @@
 }
 
 // check returns ErrHistoryLost if the node doesn't have all changes after a version, and
-// ErrUnavailable if its copy is stale or older than that version.
+// ErrUnavailable if its copy is older than that version, or stale and without changes.
 func (r *changesReply) check(after lagoonbarrow.RowVersion) error {
 	switch {
 	case !r.HasCopy:
 		return errors.Wrap(lagoonbarrow.ErrHistoryLost, "feed: the node has read nothing yet")
 	case r.HistoryLost:
 		return errors.Wrapf(lagoonbarrow.ErrHistoryLost, "feed: the node's history does not reach back to version %d", after)
-	case r.Age > maxAge:
+	case r.Age > maxAge && len(r.Changes) == 0:
 		return errors.Wrapf(lagoonbarrow.ErrUnavailable, "feed: the node's copy is %s old", r.Age)
 	case r.Version < after:
 		return errors.Wrapf(lagoonbarrow.ErrUnavailable, "feed: the node has version %d, this one has %d", r.Version, after)
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -34,9 +34,8 @@
 )
 
 const (
-	// configurationPollTimeout is how long one query for configuration changes waits.
-	// After it a silent source is detected and another one is queried, well within the
-	// time that a change may take.
+	// configurationPollTimeout is how long one query for configuration changes waits. The
+	// feed abandons silent sources soon after it, within the time that a change may take.
 	configurationPollTimeout = 800 * time.Millisecond
 	// instancesPollTimeout is the same for the instances. Their changes are less urgent,
 	// because a node refuses calls that its backend server can't run.
