Keep nodes that the store turns away from waiting for each other

Cause: the fleet of the test let nodes read all rows from the store even while it turned them away, and read the rows after every error, which a follower doesn't. With that mended, nodes without the store took each other as sources: each waited for the other's next confirmation, until the copies were 1.4 s old, and a served node could wait for them too. In an outage for all nodes they repeated their queries after 20 ms instead of the follower's delay.

Change: a node whose last call to the store failed says so in its replies and doesn't let a query wait. Such a reply counts only if it has changes. The second source stays while it gives useful replies; avoided nodes are queried last instead of not at all.

--- a/internal/process/feed/bound_test.go
+++ b/internal/process/feed/bound_test.go
@@ -18,8 +18,12 @@
 	boundWait = 800 * time.Millisecond
 	// boundStagger is the time between the starts of two nodes.
 	boundStagger = 130 * time.Millisecond
-	// silentCallTime is how long a call to a silent store takes beyond its wait.
-	silentCallTime = time.Second
+	// silentCallTime is how long a call to a silent store takes beyond its wait, unless
+	// the caller limits it.
+	silentCallTime = 4 * time.Second
+	// recoveryBound is the time after the end of an outage in which all nodes have to be
+	// up to date.
+	recoveryBound = 3 * time.Second
 )
 
 // storeFault says how the store treats one node.
@@ -43,6 +47,14 @@
 	s.fault = fault
 }
 
+// Rows implements lagoonbarrow.ChangeFeed.
+func (s *nodeStore) Rows(ctx context.Context, table string) ([]lagoonbarrow.Row, lagoonbarrow.RowVersion, error) {
+	if err := s.fail(ctx, silentCallTime); err != nil {
+		return nil, 0, err
+	}
+	return s.fakeStore.Rows(ctx, table)
+}
+
 // Changes implements lagoonbarrow.ChangeFeed. A call that waits when the store falls
 // silent gets no response either.
 func (s *nodeStore) Changes(ctx context.Context, table string, after lagoonbarrow.RowVersion, wait time.Duration) ([]lagoonbarrow.Change, lagoonbarrow.RowVersion, error) {
@@ -51,16 +63,25 @@
 		return nil, 0, lagoonbarrow.ErrUnavailable
 	}
 	changes, version, err := s.fakeStore.Changes(ctx, table, after, wait)
+	if failure := s.fail(ctx, wait+silentCallTime-time.Since(started)); failure != nil {
+		return nil, 0, failure
+	}
+	return changes, version, err
+}
+
+// fail returns the error of a call if the store doesn't serve the node. If the store is
+// silent, the call ends after the given time.
+func (s *nodeStore) fail(ctx context.Context, after time.Duration) error {
 	switch s.currentFault() {
 	case storeRefuses:
-		return nil, 0, lagoonbarrow.ErrUnavailable
+		return lagoonbarrow.ErrUnavailable
 	case storeSilent:
-		ctx, cancel := context.WithDeadline(ctx, started.Add(wait+silentCallTime))
+		ctx, cancel := context.WithTimeout(ctx, after)
 		defer cancel()
 		<-ctx.Done()
-		return nil, 0, lagoonbarrow.ErrUnavailable
+		return lagoonbarrow.ErrUnavailable
 	default:
-		return changes, version, err
+		return nil
 	}
 }
 
@@ -113,9 +134,15 @@
 	t.Helper()
 	b.store.put("a", false)
 	time.Sleep(applyBound)
+	b.checkVersion(t, excluded, applyBound)
+}
+
+// checkVersion fails unless all nodes but the excluded ones have the first change.
+func (b *boundFleet) checkVersion(t *testing.T, excluded map[int]bool, bound time.Duration) {
+	t.Helper()
 	for i, n := range b.nodes {
 		if !excluded[i] && n.cache.changesAfter(tableName, 0).version < 1 {
-			t.Errorf("%s doesn't have the change after %s", memberID(i), applyBound)
+			t.Errorf("%s doesn't have the change after %s", memberID(i), bound)
 		}
 	}
 }
@@ -181,6 +208,24 @@
 	}
 }
 
+// Guards against a call to a silent store that keeps a node from reading it after its
+// return.
+func TestChangeIsInTimeAfterASilentStore(t *testing.T) {
+	checkPhases(t, func(t *testing.T, phase time.Duration) {
+		b := newBoundFleet(t, 8, 0)
+		for _, store := range b.stores {
+			store.setFault(storeSilent)
+		}
+		time.Sleep(5*time.Second + phase)
+		for _, store := range b.stores {
+			store.setFault("")
+		}
+		b.store.put("a", false)
+		time.Sleep(recoveryBound)
+		b.checkVersion(t, nil, recoveryBound)
+	})
+}
+
 // Guards against nodes that repeat their queries without a pause while the store turns
 // them away.
 func TestTurnedAwayNodesSendFewQueries(t *testing.T) {
--- a/internal/process/feed/cache.go
+++ b/internal/process/feed/cache.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lagoonbarrow"
@@ -19,6 +20,9 @@
 // Cache holds copies of tables, from which a node answers the requests of others.
 type Cache struct {
 	now func() time.Time
+	// storeFailing is set from a failed call of this node to the store until the next
+	// successful one.
+	storeFailing atomic.Bool
 
 	mu     sync.Mutex
 	tables map[string]*tableCopy
--- a/internal/process/feed/changes.go
+++ b/internal/process/feed/changes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -37,7 +38,8 @@
 	detourTimeout = 200 * time.Millisecond
 	// detourInterval is the time between the first two rounds. It doubles with each round.
 	detourInterval = 400 * time.Millisecond
-	// detourDuration is how long a node that had a recent copy serves as second source.
+	// detourDuration is how long a node that had a recent copy serves as second source
+	// after its last useful reply.
 	detourDuration = 10 * time.Second
 	// recentSlack is how much older than the wait the copy of a node may be to count as
 	// recent.
@@ -53,7 +55,7 @@
 	table string
 	after lagoonbarrow.RowVersion
 	wait  time.Duration
-	// queried holds this node and the sources that were queried.
+	// queried holds this node and the nodes that were queried.
 	queried map[lagoonbarrow.InstanceID]bool
 }
 
@@ -176,6 +178,10 @@
 			}
 			return done.found, done.err
 		case <-timer.C:
+			// The nodes may have a recent copy by now.
+			s.queried = map[lagoonbarrow.InstanceID]bool{
+				s.feed.config.Self: true,
+			}
 			found, err := s.queryDetours(ctx)
 			if err == nil {
 				s.feed.recordStoreFailure()
@@ -237,6 +243,7 @@
 		return nil, errors.Wrap(lagoonbarrow.ErrUnavailable, err.Error())
 	}
 	s.feed.stopAvoiding(node.ID)
+	s.feed.extendDetour(node.ID)
 	return s.accept(reply, node.ID), nil
 }
 
@@ -245,6 +252,7 @@
 func (s *search) queryDetours(ctx context.Context) (*result, error) {
 	err := errors.Wrap(lagoonbarrow.ErrUnavailable, "feed: no other node is known")
 	for _, node := range s.detours() {
+		s.queried[node.ID] = true
 		var reply *changesReply
 		reply, err = s.query(ctx, node, 0, detourTimeout)
 		if err == nil {
@@ -264,20 +272,12 @@
 	return nil, errors.Wrap(lagoonbarrow.ErrUnavailable, err.Error())
 }
 
-// detours returns random nodes that were not queried yet.
+// detours returns random nodes that were not queried yet, the avoided ones last.
 func (s *search) detours() []lagoonbarrow.Instance {
-	members := s.feed.usable()
+	members := slices.DeleteFunc(s.feed.config.Members(), func(m lagoonbarrow.Instance) bool { return s.queried[m.ID] })
 	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
-	var nodes []lagoonbarrow.Instance
-	for _, member := range members {
-		if len(nodes) == maxDetours {
-			break
-		}
-		if !s.queried[member.ID] {
-			nodes = append(nodes, member)
-		}
-	}
-	return nodes
+	members = s.feed.avoidedLast(members)
+	return members[:min(maxDetours, len(members))]
 }
 
 // age returns the time since the node's copy was last confirmed as the store's newest.
--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -94,12 +94,15 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.storeFailedAt = f.config.Now()
+	f.config.Cache.storeFailing.Store(true)
 }
 
 func (f *Feed) recordStoreSuccess() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.storeFailedAt = time.Time{}
+	f.detour = ""
+	f.config.Cache.storeFailing.Store(false)
 }
 
 // apply applies changes from a node, or from the store if source is empty, to the copy of
@@ -132,10 +135,18 @@
 func (f *Feed) setDetour(id lagoonbarrow.InstanceID) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	delete(f.avoided, id)
 	f.detour = id
 	f.detourUntil = f.config.Now().Add(detourDuration)
 }
 
+// extendDetour keeps the second source after a useful reply.
+func (f *Feed) extendDetour(id lagoonbarrow.InstanceID) {
+	if f.currentDetour() == id {
+		f.setDetour(id)
+	}
+}
+
 // currentDetour returns the node that is the second source, or "".
 func (f *Feed) currentDetour() lagoonbarrow.InstanceID {
 	f.mu.Lock()
@@ -187,6 +198,22 @@
 	})
 }
 
+// avoidedLast returns the members with the avoided ones after the others.
+func (f *Feed) avoidedLast(members []lagoonbarrow.Instance) []lagoonbarrow.Instance {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.config.Now()
+	var usable, avoided []lagoonbarrow.Instance
+	for _, member := range members {
+		if now.Before(f.avoided[member.ID].until) {
+			avoided = append(avoided, member)
+			continue
+		}
+		usable = append(usable, member)
+	}
+	return append(usable, avoided...)
+}
+
 // reader is a node that may read the store for others.
 type reader struct {
 	member *lagoonbarrow.Instance
--- a/internal/process/feed/feed_test.go
+++ b/internal/process/feed/feed_test.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/process/backoff"
 )
 
 const tableName = "table"
@@ -287,16 +288,24 @@
 			time.Sleep(time.Duration(i) * stagger)
 			version := lagoonbarrow.RowVersion(0)
 			hasRows := false
+			retryDelay := backoff.ForStore()
 			for ctx.Err() == nil {
+				var next lagoonbarrow.RowVersion
 				var err error
 				if hasRows {
-					_, version, err = n.feed.Changes(ctx, tableName, version, wait)
+					_, next, err = n.feed.Changes(ctx, tableName, version, wait)
 				} else {
-					_, version, err = n.feed.Rows(ctx, tableName)
+					_, next, err = n.feed.Rows(ctx, tableName)
 				}
-				hasRows = err == nil
-				if err != nil {
-					time.Sleep(20 * time.Millisecond)
+				switch {
+				case errors.Is(err, lagoonbarrow.ErrHistoryLost):
+					hasRows = false
+				case err != nil:
+					retryDelay.Wait(ctx)
+				default:
+					retryDelay.Reset()
+					hasRows = true
+					version = max(version, next)
 				}
 			}
 		}()
--- a/internal/process/feed/messages.go
+++ b/internal/process/feed/messages.go
@@ -31,6 +31,9 @@
 	Version     lagoonbarrow.RowVersion `msgpack:"version"`
 	// Age is the time since Version was last confirmed as the store's newest.
 	Age time.Duration `msgpack:"age"`
+	// StoreFailing is set if the store doesn't serve the node, which has its copy from
+	// others.
+	StoreFailing bool `msgpack:"store-failing,omitempty"`
 }
 
 // wireChange is an encoded change. It omits the name of the table.
@@ -53,15 +56,17 @@
 	return []string{kindChanges}
 }
 
-// HandleMessage answers at once if there are changes, the copy is stale or missing, or its
-// history is lost. Otherwise it waits for the requested time, until there are changes or
+// HandleMessage answers at once if there are changes, the copy is stale or missing, its
+// history is lost, or the store doesn't serve this node. Otherwise it waits for the requested time, until there are changes or
 // the copy is confirmed again.
 func (h *Handler) HandleMessage(ctx context.Context, _ lagoonbarrow.InstanceID, message lagoonbarrow.Message) (lagoonbarrow.Message, error) {
 	var request changesRequest
 	if err := msgpack.Unmarshal(message.Body, &request); err != nil {
 		return lagoonbarrow.Message{}, errors.Wrap(err, "feed: decode question")
 	}
-	body, err := msgpack.Marshal(h.answer(ctx, request))
+	reply := h.answer(ctx, request)
+	reply.StoreFailing = h.Cache.storeFailing.Load()
+	body, err := msgpack.Marshal(reply)
 	return lagoonbarrow.Message{
 		Kind: kindChanges,
 		Body: body,
@@ -76,7 +81,7 @@
 	defer timer.Stop()
 	found := h.Cache.changesAfter(request.Table, request.After)
 	confirmedAt := found.confirmedAt
-	for found.mayBecomeUseful() && found.confirmedAt.Sub(confirmedAt) < minProgress {
+	for !h.Cache.storeFailing.Load() && found.mayBecomeUseful() && found.confirmedAt.Sub(confirmedAt) < minProgress {
 		select {
 		case <-found.updated:
 			found = h.Cache.changesAfter(request.Table, request.After)
@@ -113,7 +118,9 @@
 }
 
 // check returns ErrHistoryLost if the node doesn't have all changes after a version, and
-// ErrUnavailable if its copy is older than that version, or stale and without changes.
+// ErrUnavailable if its copy is older than that version. A reply without changes is also
+// unavailable if the copy is stale or the store doesn't serve the node: two such nodes
+// could wait for each other.
 func (r *changesReply) check(after lagoonbarrow.RowVersion) error {
 	switch {
 	case !r.HasCopy:
@@ -124,6 +131,8 @@
 		return errors.Wrapf(lagoonbarrow.ErrUnavailable, "feed: the node's copy is %s old", r.Age)
 	case r.Version < after:
 		return errors.Wrapf(lagoonbarrow.ErrUnavailable, "feed: the node has version %d, this one has %d", r.Version, after)
+	case r.StoreFailing && len(r.Changes) == 0:
+		return errors.Wrap(lagoonbarrow.ErrUnavailable, "feed: the store doesn't serve the node")
 	default:
 		return nil
 	}
