Ignore late heartbeats of a server that left before its first one

A process that has seen no heartbeat yet took any as newer than none, without a look at the departed ids; one with another server compared the start times of two servers that say nothing of each other.

Change: a departure keeps the server's start time if it is known, and the time of the leave. A heartbeat of a departed id counts only if the server started later. If the start isn't known and the clock was set back, it counts after 30 s. The leave is logged.

The new rows of TestHeartbeatsInAnyOrder failed before (server "a" ready, server "b" ready).

--- a/internal/process/registration/server.go
+++ b/internal/process/registration/server.go
@@ -25,6 +25,14 @@
 	Slots   int
 }
 
+// departure is a server that has left.
+type departure struct {
+	id lagoonbarrow.ServerID
+	// started is the server's start time, or zero if it isn't known.
+	started time.Time
+	leftAt  time.Time
+}
+
 // Config configures a Registration.
 type Config struct {
 	Service           lagoonbarrow.ServiceName
@@ -54,14 +62,19 @@
 	// unreachable is set when no connection to the server can be opened or it gives no
 	// answers. The next heartbeat clears it.
 	unreachable bool
-	// departed holds the ids of the servers that left most recently. A late heartbeat
-	// of such a server must not make it current again.
-	departed []lagoonbarrow.ServerID
+	// departed holds the servers that left most recently. A late heartbeat of such a
+	// server must not make it current again.
+	departed []departure
 	ready    bool
 }
 
-// maxDeparted bounds the kept ids of departed servers.
-const maxDeparted = 16
+const (
+	// maxDeparted bounds the departed servers that are kept.
+	maxDeparted = 16
+	// maxHeartbeatDelay is how late a heartbeat may arrive. A server whose start time is
+	// not known stays departed for this time unless it has started again.
+	maxHeartbeatDelay = 30 * time.Second
+)
 
 var _ lagoonbarrow.HeartbeatHandler = (*Registration)(nil)
 
@@ -124,6 +137,9 @@
 
 // isNewer reports whether a heartbeat is newer than the latest one.
 func (r *Registration) isNewer(heartbeat lagoonbarrow.Heartbeat) bool {
+	if r.hasDeparted(heartbeat) {
+		return false
+	}
 	if r.latest.ID == "" {
 		return true
 	}
@@ -131,9 +147,6 @@
 	if sameStart {
 		return !r.hasLeft && heartbeat.Sequence > r.latest.Sequence
 	}
-	if heartbeat.ID != r.latest.ID && slices.Contains(r.departed, heartbeat.ID) {
-		return heartbeat.Started.After(r.latest.Started)
-	}
 	if heartbeat.Started.After(r.latest.Started) {
 		return true
 	}
@@ -142,14 +155,48 @@
 	return heartbeat.ID != r.latest.ID && (r.hasLeft || silent)
 }
 
+// hasDeparted reports whether a heartbeat was sent by a server before it left. The node may
+// never have seen the server before, if it has started again since.
+func (r *Registration) hasDeparted(heartbeat lagoonbarrow.Heartbeat) bool {
+	for _, departed := range slices.Backward(r.departed) {
+		if departed.id != heartbeat.ID {
+			continue
+		}
+		if !departed.started.IsZero() {
+			return !heartbeat.Started.After(departed.started)
+		}
+		recent := r.config.Now().Sub(departed.leftAt) <= maxHeartbeatDelay
+		return recent && !heartbeat.Started.After(departed.leftAt)
+	}
+	return false
+}
+
 // Leave marks the server with this id as having left.
 func (r *Registration) Leave(id lagoonbarrow.ServerID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.addDeparted(id)
+	started := time.Time{}
+	if id == r.latest.ID {
+		started = r.latest.Started
+	}
+	r.config.Logger.Info("a backend server left", "server", id, "present", r.latest.ID)
+	r.depart(id, started, "leave")
+}
+
+// depart adds a departed server, which is the current one if it has its id. The caller
+// holds the mutex.
+func (r *Registration) depart(id lagoonbarrow.ServerID, started time.Time, cause string) {
+	r.departed = append(r.departed, departure{
+		id:      id,
+		started: started,
+		leftAt:  r.config.Now(),
+	})
+	if len(r.departed) > maxDeparted {
+		r.departed = r.departed[1:]
+	}
 	if id == r.latest.ID {
 		r.hasLeft = true
-		r.publish("leave")
+		r.publish(cause)
 	}
 }
 
@@ -177,13 +224,6 @@
 	r.publish("unreachable")
 }
 
-func (r *Registration) addDeparted(id lagoonbarrow.ServerID) {
-	r.departed = append(r.departed, id)
-	if len(r.departed) > maxDeparted {
-		r.departed = r.departed[1:]
-	}
-}
-
 // publish computes whether the server is ready and calls OnChange. The caller holds
 // the mutex.
 func (r *Registration) publish(cause string) {
--- a/internal/process/registration/server_test.go
+++ b/internal/process/registration/server_test.go
@@ -87,6 +87,24 @@
 			r.Leave("a")
 			_ = r.HandleHeartbeat(newHeartbeat("a", 2, 1, ready))
 		}, "a", true},
+		{"a late heartbeat of a server that left before its first one", func(r *Registration, _ *fakeClock) {
+			r.Leave("a")
+			_ = r.HandleHeartbeat(newHeartbeat("a", 1, 20, ready))
+		}, "", false},
+		{"a late heartbeat of a server that left while another one is present", func(r *Registration, _ *fakeClock) {
+			_ = r.HandleHeartbeat(newHeartbeat("a", 1, 1, ready))
+			r.Leave("b")
+			_ = r.HandleHeartbeat(newHeartbeat("b", 2, 20, ready))
+		}, "a", true},
+		{"the same id started again after a leave before its first heartbeat", func(r *Registration, c *fakeClock) {
+			r.Leave("a")
+			_ = r.HandleHeartbeat(newHeartbeat("a", c.now.Unix()+1, 1, ready))
+		}, "a", true},
+		{"the same id started again with an earlier time, long after a leave", func(r *Registration, c *fakeClock) {
+			r.Leave("a")
+			c.now = c.now.Add(maxHeartbeatDelay + time.Second)
+			_ = r.HandleHeartbeat(newHeartbeat("a", 1, 1, ready))
+		}, "a", true},
 		{"a start with an earlier time after the clock was set back", func(r *Registration, c *fakeClock) {
 			_ = r.HandleHeartbeat(newHeartbeat("a", 10, 1, ready))
 			c.now = c.now.Add(3 * time.Second)
