Keep the departure of the backend server in the node's row

The next process of the node took a late heartbeat for a new server. The row in the store only said that the instance leaves, which a stopping node writes too.

Change: the row of a node whose server has left, or drains, has the server's start time. The first row that a process reads restores the departure, also when a late heartbeat was faster. The directory reports the node's own row outside its lock, as the registration calls the directory back.

Evidence: TestDepartedServerStaysOutAfterARestart failed without the change (server i-0 is in use again). Remaining: a process that is killed within the few milliseconds before the row is written.

--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -13,9 +13,9 @@
 type Config struct {
 	Self   lagoonbarrow.InstanceID
 	Logger hclog.Logger
-	// OnOwnRowVersion is called with the version of this node's row, or 0 if the row
-	// does not exist.
-	OnOwnRowVersion func(version lagoonbarrow.RowVersion)
+	// OnOwnRow is called with this node's row, whose version is 0 if it does not exist. It
+	// may call the directory.
+	OnOwnRow func(row lagoonbarrow.Row)
 	// OnChange is called with the ids of all instances after a change. It may be nil.
 	OnChange func(ids map[lagoonbarrow.InstanceID]bool)
 }
@@ -57,15 +57,21 @@
 
 // Replace replaces the instances with those in rows, which are all rows of the table.
 func (d *Directory) Replace(rows []lagoonbarrow.Row) {
+	d.config.OnOwnRow(d.replaceOthers(rows))
+	d.loaded.Store(true)
+}
+
+// replaceOthers replaces the other instances and returns this node's row.
+func (d *Directory) replaceOthers(rows []lagoonbarrow.Row) lagoonbarrow.Row {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	ownVersion := lagoonbarrow.RowVersion(0)
+	ownRow := lagoonbarrow.Row{}
 	previous := d.entries
 	d.entries = map[lagoonbarrow.InstanceID]lagoonbarrow.Instance{}
 	d.versions = map[lagoonbarrow.InstanceID]lagoonbarrow.RowVersion{}
 	for _, row := range rows {
 		if row.Key == string(d.config.Self) {
-			ownVersion = row.Version
+			ownRow = row
 			continue
 		}
 		d.setInstance(row)
@@ -73,34 +79,40 @@
 	if self, found := previous[d.config.Self]; found {
 		d.entries[d.config.Self] = self
 	}
-	d.config.OnOwnRowVersion(ownVersion)
 	d.publish()
-	d.loaded.Store(true)
+	return ownRow
 }
 
 // Apply applies row changes in order.
 func (d *Directory) Apply(changes []lagoonbarrow.Change) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
+	d.applyOthers(changes)
 	for _, change := range changes {
-		d.apply(change)
+		switch {
+		case change.Row.Key != string(d.config.Self):
+		case change.Deleted:
+			d.config.OnOwnRow(lagoonbarrow.Row{})
+		default:
+			d.config.OnOwnRow(change.Row)
+		}
 	}
-	d.publish()
 }
 
-func (d *Directory) apply(change lagoonbarrow.Change) {
-	id := lagoonbarrow.InstanceID(change.Row.Key)
-	switch {
-	case id == d.config.Self && change.Deleted:
-		d.config.OnOwnRowVersion(0)
-	case id == d.config.Self:
-		d.config.OnOwnRowVersion(change.Row.Version)
-	case change.Deleted:
-		delete(d.entries, id)
-		delete(d.versions, id)
-	default:
-		d.setInstance(change.Row)
+// applyOthers applies the changes of other instances.
+func (d *Directory) applyOthers(changes []lagoonbarrow.Change) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, change := range changes {
+		id := lagoonbarrow.InstanceID(change.Row.Key)
+		switch {
+		case id == d.config.Self:
+		case change.Deleted:
+			delete(d.entries, id)
+			delete(d.versions, id)
+		default:
+			d.setInstance(change.Row)
+		}
 	}
+	d.publish()
 }
 
 // setInstance adds or updates another instance from its row. It skips an invalid row.
--- a/internal/process/directory/directory_test.go
+++ b/internal/process/directory/directory_test.go
@@ -2,23 +2,28 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 
 	"lagoonbarrow"
 )
 
-// ownRow records the version that the directory reports for the node's own row.
+// ownRow records the node's own row that the directory reports.
 type ownRow struct {
 	version lagoonbarrow.RowVersion
+	row     lagoonbarrow.Row
 }
 
 func newDirectory() (*Directory, *ownRow) {
 	own := &ownRow{}
 	return New(Config{
-		Self:            "self",
-		Logger:          hclog.NewNullLogger(),
-		OnOwnRowVersion: func(version lagoonbarrow.RowVersion) { own.version = version },
+		Self:   "self",
+		Logger: hclog.NewNullLogger(),
+		OnOwnRow: func(row lagoonbarrow.Row) {
+			own.version = row.Version
+			own.row = row
+		},
 	}), own
 }
 
@@ -30,7 +35,9 @@
 		Peer:    "10.0.0.1:7000",
 		Slots:   10,
 		State:   state,
-	}, "i-1")
+	}, Server{
+		ID: "i-1",
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -114,3 +121,28 @@
 		t.Fatalf("instances %v, own version %d", found, own.version)
 	}
 }
+
+// Guards against a departure that a row doesn't keep for the next process of the node.
+func TestRowKeepsTheDeparture(t *testing.T) {
+	started := time.UnixMilli(1700000000123)
+	for _, left := range []bool{true, false} {
+		value, err := Encode(lagoonbarrow.Instance{}, Server{
+			ID:      "i-1",
+			Started: started,
+			Left:    left,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		directory, own := newDirectory()
+		directory.Replace([]lagoonbarrow.Row{{
+			Key:     "self",
+			Version: 1,
+			Value:   value,
+		}})
+		server, err := DecodeServer(own.row)
+		if err != nil || server.ID != "i-1" || server.Left != left || left && !server.Started.Equal(started) {
+			t.Errorf("server %+v, error %v", server, err)
+		}
+	}
+}
--- a/internal/process/directory/record.go
+++ b/internal/process/directory/record.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -23,23 +24,54 @@
 	Slots   int                      `json:"slots"`
 	State   string                   `json:"state"`
 	Server  lagoonbarrow.ServerID    `json:"server"`
+	// ServerStarted is the start time of the server in Unix milliseconds, if it has left.
+	ServerStarted int64 `json:"server-started,omitempty"`
+	ServerLeft    bool  `json:"server-left,omitempty"`
+}
+
+// Server is the backend server of a row.
+type Server struct {
+	ID      lagoonbarrow.ServerID
+	Started time.Time
+	// Left is set when the server has announced that it leaves, or has left.
+	Left bool
 }
 
 // Encode returns the value of an instance's row. The server id is different for each
 // start of the backend server.
-func Encode(instance lagoonbarrow.Instance, server lagoonbarrow.ServerID) ([]byte, error) {
+func Encode(instance lagoonbarrow.Instance, server Server) ([]byte, error) {
+	serverStarted := int64(0)
+	if server.Left {
+		serverStarted = server.Started.UnixMilli()
+	}
 	value, err := json.Marshal(record{
-		Service: instance.Service,
-		Zone:    instance.Zone,
-		Region:  instance.Region,
-		Peer:    instance.Peer,
-		Slots:   instance.Slots,
-		State:   instance.State.String(),
-		Server:  server,
+		Service:       instance.Service,
+		Zone:          instance.Zone,
+		Region:        instance.Region,
+		Peer:          instance.Peer,
+		Slots:         instance.Slots,
+		State:         instance.State.String(),
+		Server:        server.ID,
+		ServerStarted: serverStarted,
+		ServerLeft:    server.Left,
 	})
 	return value, errors.Wrap(err, "directory: encode row")
 }
 
+// DecodeServer returns the backend server of a row, with its start time if it has left. It
+// returns ErrInvalid if the row can't be decoded.
+func DecodeServer(row lagoonbarrow.Row) (Server, error) {
+	var decoded record
+	if err := json.Unmarshal(row.Value, &decoded); err != nil {
+		return Server{}, errors.Wrapf(lagoonbarrow.ErrInvalid, "directory: decode row: %v", err)
+	}
+	return Server{
+		ID:      decoded.Server,
+		Started: time.UnixMilli(decoded.ServerStarted),
+		Left:    decoded.ServerLeft,
+	}, nil
+}
+
 // decode returns the instance of a row. It returns ErrInvalid if the row does not
 // describe a usable instance, because other writers may write invalid rows.
 func decode(row lagoonbarrow.Row) (lagoonbarrow.Instance, error) {
--- a/internal/process/registration/server.go
+++ b/internal/process/registration/server.go
@@ -23,6 +23,9 @@
 	ID      lagoonbarrow.ServerID
 	Service lagoonbarrow.ServiceName
 	Slots   int
+	Started time.Time
+	// Left is set when the server has announced that it leaves, or has left.
+	Left bool
 }
 
 // departure is a server that has left.
@@ -108,6 +111,8 @@
 		ID:      r.latest.ID,
 		Service: r.latest.Service,
 		Slots:   r.latest.Slots,
+		Started: r.latest.Started,
+		Left:    r.hasLeft || r.latest.State == lagoonbarrow.ServerDraining,
 	}
 }
 
@@ -183,6 +188,18 @@
 	r.depart(id, started, "leave")
 }
 
+// RestoreDeparture marks the server with this id and start time as having left, as an
+// earlier process of this node has recorded it.
+func (r *Registration) RestoreDeparture(id lagoonbarrow.ServerID, started time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if id == r.latest.ID && r.latest.Started.After(started) {
+		return
+	}
+	r.config.Logger.Info("a backend server had left before this process started", "server", id, "present", r.latest.ID)
+	r.depart(id, started, "left before the start")
+}
+
 // depart adds a departed server, which is the current one if it has its id. The caller
 // holds the mutex.
 func (r *Registration) depart(id lagoonbarrow.ServerID, started time.Time, cause string) {
--- a/internal/process/registration/server_test.go
+++ b/internal/process/registration/server_test.go
@@ -96,6 +96,18 @@
 			r.Leave("b")
 			_ = r.HandleHeartbeat(newHeartbeat("b", 2, 20, ready))
 		}, "a", true},
+		{"a late heartbeat of a server that left before the process started", func(r *Registration, _ *fakeClock) {
+			r.RestoreDeparture("a", time.Unix(1, 0))
+			_ = r.HandleHeartbeat(newHeartbeat("a", 1, 20, ready))
+		}, "", false},
+		{"a late heartbeat before the departure is restored", func(r *Registration, _ *fakeClock) {
+			_ = r.HandleHeartbeat(newHeartbeat("a", 1, 20, ready))
+			r.RestoreDeparture("a", time.Unix(1, 0))
+		}, "a", false},
+		{"a start after the restored departure", func(r *Registration, _ *fakeClock) {
+			_ = r.HandleHeartbeat(newHeartbeat("a", 2, 1, ready))
+			r.RestoreDeparture("a", time.Unix(1, 0))
+		}, "a", true},
 		{"the same id started again after a leave before its first heartbeat", func(r *Registration, c *fakeClock) {
 			r.Leave("a")
 			_ = r.HandleHeartbeat(newHeartbeat("a", c.now.Unix()+1, 1, ready))
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -121,6 +121,8 @@
 	// stopTimeout is the time limit of Stop in nanoseconds.
 	stopTimeout atomic.Int64
 	stopping    atomic.Bool
+	// ownRowKnown is set once this node's row, or its absence, has been read.
+	ownRowKnown atomic.Bool
 	// leaving is set once calls from other nodes are refused.
 	leaving atomic.Bool
 	closed  sync.Once
@@ -172,10 +174,10 @@
 		Logger: s.config.Logger.Named("row"),
 	})
 	s.directory = directory.New(directory.Config{
-		Self:            s.settings.Instance,
-		Logger:          s.config.Logger.Named("directory"),
-		OnOwnRowVersion: s.rowWriter.ObserveVersion,
-		OnChange:        s.membersChanged,
+		Self:     s.settings.Instance,
+		Logger:   s.config.Logger.Named("directory"),
+		OnOwnRow: s.ownRowRead,
+		OnChange: s.membersChanged,
 	})
 	s.registration = registration.New(registration.Config{
 		Service:           s.settings.Service,
@@ -386,7 +388,11 @@
 		self.State = lagoonbarrow.StateLeaving
 	}
 	s.directory.SetSelf(self)
-	value, err := directory.Encode(self, server.ID)
+	value, err := directory.Encode(self, directory.Server{
+		ID:      server.ID,
+		Started: server.Started,
+		Left:    server.Left,
+	})
 	if err != nil {
 		s.config.Logger.Error("encoding the node's row failed", "error", err)
 		return
@@ -394,6 +400,23 @@
 	s.rowWriter.SetValue(value)
 }
 
+// ownRowRead processes this node's row as it is in the store. The first one read was
+// written by an earlier process, which may have acknowledged that the backend server leaves.
+func (s *Sidecar) ownRowRead(row lagoonbarrow.Row) {
+	s.rowWriter.ObserveVersion(row.Version)
+	if s.ownRowKnown.Swap(true) || row.Version == 0 {
+		return
+	}
+	server, err := directory.DecodeServer(row)
+	if err != nil {
+		s.config.Logger.Warn("this node's row can't be decoded", "version", row.Version, "error", err)
+		return
+	}
+	if server.Left {
+		s.registration.RestoreDeparture(server.ID, server.Started)
+	}
+}
+
 // serviceInstances returns the number of known instances of this node's service, its
 // own included. It returns 0 until the directory is ready.
 func (s *Sidecar) serviceInstances() int {
--- a/internal/process/sidecar/sidecar_test.go
+++ b/internal/process/sidecar/sidecar_test.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"lagoonbarrow/internal/process/directory"
 	"lagoonbarrow/platform/standin"
 )
 
@@ -114,6 +116,30 @@
 	}
 }
 
+// Guards against a server that is in use again after the process beside it, which has
+// acknowledged its leaving, was replaced.
+func TestDepartedServerStaysOutAfterARestart(t *testing.T) {
+	f := newFleet(t, 0, nil)
+	old := f.members[0]
+	old.server.SetState("draining")
+	if err := old.server.SendHeartbeat(old.sidecar.settings.HeartbeatAddress); err != nil {
+		t.Fatal(err)
+	}
+	f.waitFor("the row has the departure", func() bool {
+		return strings.Contains(string(f.store.Value(directory.Table, "node-0")), "server-left")
+	})
+	old.sidecar.close()
+	restarted := f.start(0, "alpha", old.server.Address())
+	f.waitFor("the rows are read", restarted.directory.Ready)
+	old.server.SetState("ready")
+	if err := old.server.SendHeartbeat(restarted.settings.HeartbeatAddress); err != nil {
+		t.Fatal(err)
+	}
+	if server, ready := restarted.registration.Current(); ready {
+		t.Fatalf("server %s is in use again", server.ID)
+	}
+}
+
 // Guards against requests that are cut off or lost by a planned stop, and against
 // a stopping node that still reports that it is ready.
 func TestStopLosesNothing(t *testing.T) {
