Match refusals of backend servers with their request

Also for a request that may run once only, if it came within the 50 ms in which such a connection is reused.

Cause: a failure without an id passed as the answer to any request, and answers of the node's own interface were matched by their order only. The class of fault: an answer attributed by its place on a connection that has carried other requests.

Change: both kinds of servers share one match of answers with requests. An answer without an id counts only on a connection that has not had one with an id, and a refusal without one closes the connection, so no earlier refusal can come on a reused one. Servers of the own interface may name the call in Lagoonbarrow-Call.

--- a/internal/request/backend/connection.go
+++ b/internal/request/backend/connection.go
@@ -49,7 +49,10 @@
 	// usage is the memory of the answers of the current exchange.
 	usage     *memory.Usage
 	idleSince time.Time
-	closeOnce sync.Once
+	// namesRequests is set once an answer has had the id of its request. Each later one
+	// has to have it too.
+	namesRequests bool
+	closeOnce     sync.Once
 }
 
 func newConnection(netConn net.Conn) *connection {
--- a/internal/request/backend/exchange.go
+++ b/internal/request/backend/exchange.go
@@ -22,9 +22,18 @@
 	deadlineHeader() string
 	// setHeaders sets the headers of the request.
 	setHeaders(request *fasthttp.Request, call *lagoonbarrow.Call)
-	// readAnswer reads the complete answer to the call. noStrays reports that it
-	// received no answer to another request.
-	readAnswer(conn *connection, call *lagoonbarrow.Call, response *fasthttp.Response) (noStrays bool, err error)
+	// requestID returns the id of the request that the server may repeat in its answer.
+	requestID(call *lagoonbarrow.Call) string
+	// echoedID returns the id of the request that an answer names, or "".
+	echoedID(response *fasthttp.Response) string
+	// acceptsUnnamed reports whether an answer with this status that names no request may
+	// be the one to the call.
+	acceptsUnnamed(call *lagoonbarrow.Call, status int) bool
+	// mayReuseAfterUnnamed reports whether the connection may be reused after an answer
+	// that names no request.
+	mayReuseAfterUnnamed(answer *lagoonbarrow.Answer) bool
+	// read reads one complete answer.
+	read(conn *connection, call *lagoonbarrow.Call, response *fasthttp.Response) error
 	// toAnswer converts a complete response to an answer.
 	toAnswer(call *lagoonbarrow.Call, response *fasthttp.Response) *lagoonbarrow.Answer
 }
@@ -46,13 +55,13 @@
 	defer conn.usage.Release()
 	reusable := false
 	defer func() { c.pool.release(conn, reusable) }()
-	answer, reusable = exchange(ctx, conn, call, deadline, d)
+	answer, reusable = c.exchange(ctx, conn, call, deadline, d)
 	return answer, true
 }
 
 // exchange writes the request and reads the answer. The connection may be reused
 // only after a complete exchange.
-func exchange(ctx context.Context, conn *connection, call *lagoonbarrow.Call, deadline time.Time, d dialect) (answer *lagoonbarrow.Answer, reusable bool) {
+func (c *Client) exchange(ctx context.Context, conn *connection, call *lagoonbarrow.Call, deadline time.Time, d dialect) (answer *lagoonbarrow.Answer, reusable bool) {
 	stop := context.AfterFunc(ctx, conn.close)
 	defer func() {
 		// If stop returns false, ctx has ended and the connection is being closed.
@@ -78,13 +87,13 @@
 	}
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
-	noStrays, err := d.readAnswer(conn, call, response)
+	found, err := c.readAnswer(conn, call, response, d)
 	if err != nil {
 		answer = failureAnswer(ctx, call, lagoonbarrow.OutcomeUnknown)
 	} else {
 		answer = d.toAnswer(call, response)
 		wanted := conn.usage.Complete()
-		reusable = wanted && noStrays && writeErr == nil && !response.ConnectionClose() && conn.reader.Buffered() == 0
+		reusable = wanted && found.allowsReuse(answer, d) && writeErr == nil && !response.ConnectionClose() && conn.reader.Buffered() == 0
 	}
 	answer.SentToServer = true
 	return answer, reusable
--- a/internal/request/backend/relay.go
+++ b/internal/request/backend/relay.go
@@ -5,19 +5,13 @@
 	"strconv"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
 	"lagoonbarrow"
 )
 
-const (
-	// maxAnswersRead bounds the answers that are read from a connection to find the one
-	// to the current request.
-	maxAnswersRead = 3
-	// maxRetryAfter bounds the delay that a server may request by Retry-After.
-	maxRetryAfter = 10 * time.Second
-)
+// maxRetryAfter bounds the delay that a server may request by Retry-After.
+const maxRetryAfter = 10 * time.Second
 
 // Relay sends a request to a backend server that uses Config.Headers and waits for
 // the complete answer. The outcome is
@@ -65,36 +59,27 @@
 	}
 }
 
-// readAnswer reads the answer to this call. It skips answers to earlier requests on
-// the same connection, which a faulty server may send late. A connection with such an
-// answer is not reused.
-func (r relayDialect) readAnswer(conn *connection, call *lagoonbarrow.Call, response *fasthttp.Response) (noStrays bool, err error) {
-	config := r.client.config
-	for strays := range maxAnswersRead {
-		response.Reset()
-		if err := conn.readUnframed(response, call.Method == fasthttp.MethodHead, config.MaxBodyBytes); err != nil {
-			return false, err
-		}
-		echo := string(response.Header.Peek(config.Headers.RequestID))
-		if echo == string(call.Request) {
-			return strays == 0, nil
-		}
-		if echo == "" && response.StatusCode() >= fasthttp.StatusMultipleChoices {
-			return strays == 0, nil
-		}
-		if echo == "" {
-			return false, errStrayAnswer
-		}
-		config.Scope.Counter("stray-answers").Inc(1)
-		if response.ConnectionClose() {
-			return false, errStrayAnswer
-		}
-	}
-	return false, errStrayAnswer
+func (relayDialect) requestID(call *lagoonbarrow.Call) string {
+	return string(call.Request)
 }
 
-// errStrayAnswer is returned when no answer with the request's id was read.
-var errStrayAnswer = errors.Wrap(lagoonbarrow.ErrAnswerLost, "backend: answer to another request")
+func (r relayDialect) echoedID(response *fasthttp.Response) string {
+	return string(response.Header.Peek(r.client.config.Headers.RequestID))
+}
+
+// acceptsUnnamed accepts a failure without an id, which a server may send before it has
+// read the request, but no success.
+func (relayDialect) acceptsUnnamed(call *lagoonbarrow.Call, status int) bool {
+	return status >= fasthttp.StatusMultipleChoices || call.Request == ""
+}
+
+func (relayDialect) mayReuseAfterUnnamed(*lagoonbarrow.Answer) bool {
+	return false
+}
+
+func (r relayDialect) read(conn *connection, call *lagoonbarrow.Call, response *fasthttp.Response) error {
+	return conn.readUnframed(response, call.Method == fasthttp.MethodHead, r.client.config.MaxBodyBytes)
+}
 
 func (r relayDialect) toAnswer(call *lagoonbarrow.Call, response *fasthttp.Response) *lagoonbarrow.Answer {
 	headers := r.client.config.Headers
--- a/internal/request/backend/run.go
+++ b/internal/request/backend/run.go
@@ -50,9 +50,25 @@
 	request.Header.Set(lagoonbarrow.HeaderPriority, strconv.Itoa(int(call.Priority)))
 }
 
-func (n nativeDialect) readAnswer(conn *connection, call *lagoonbarrow.Call, response *fasthttp.Response) (noStrays bool, err error) {
-	err = conn.read(response, call.Method == fasthttp.MethodHead, n.client.config.MaxBodyBytes)
-	return err == nil, err
+func (nativeDialect) requestID(call *lagoonbarrow.Call) string {
+	return string(call.ID)
+}
+
+func (nativeDialect) echoedID(response *fasthttp.Response) string {
+	return string(response.Header.Peek(lagoonbarrow.HeaderCall))
+}
+
+// acceptsUnnamed accepts all answers, because servers need not name the call.
+func (nativeDialect) acceptsUnnamed(*lagoonbarrow.Call, int) bool {
+	return true
+}
+
+func (nativeDialect) mayReuseAfterUnnamed(answer *lagoonbarrow.Answer) bool {
+	return answer.Outcome == lagoonbarrow.OutcomeDone
+}
+
+func (n nativeDialect) read(conn *connection, call *lagoonbarrow.Call, response *fasthttp.Response) error {
+	return conn.read(response, call.Method == fasthttp.MethodHead, n.client.config.MaxBodyBytes)
 }
 
 func (nativeDialect) toAnswer(call *lagoonbarrow.Call, response *fasthttp.Response) *lagoonbarrow.Answer {
