Test answers that end in their head and repeated refusals through the nodes

An answer that ends in its head: can't happen here. The stand-in plays it and the repeated refusal; the fleet test and the soak have both.

--- a/internal/process/sidecar/sidecar_test.go
+++ b/internal/process/sidecar/sidecar_test.go
@@ -61,6 +61,7 @@
 	faults := []standin.ResponseFault{
 		"", standin.FaultTruncated, standin.FaultExtra, standin.FaultReset, standin.FaultNotRun,
 		standin.FaultFailed, standin.FaultUnframed, standin.FaultUnmarked503, standin.FaultStray,
+		standin.FaultCutHead, standin.FaultRepeatedRefusal,
 	}
 	f := newFleet(t, time.Millisecond, func(id string) standin.ResponseFault {
 		var number int
--- a/internal/request/backend/relay_test.go
+++ b/internal/request/backend/relay_test.go
@@ -56,6 +56,8 @@
 	}{
 		{"", lagoonbarrow.OutcomeDone, 200},
 		{standin.FaultTruncated, lagoonbarrow.OutcomeUnknown, 0},
+		{standin.FaultCutHead, lagoonbarrow.OutcomeUnknown, 0},
+		{standin.FaultRepeatedRefusal, lagoonbarrow.OutcomeNotRun, 503},
 		{standin.FaultExtra, lagoonbarrow.OutcomeDone, 200},
 		{standin.FaultStray, lagoonbarrow.OutcomeDone, 200},
 		{standin.FaultUnframed, lagoonbarrow.OutcomeDone, 200},
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -128,7 +128,17 @@
 func (f *fleet) addNode(index int, service, ip string, seed uint64) {
 	faultRandom := rand.New(rand.NewPCG(seed, uint64(index)))
 	var mu sync.Mutex
-	faults := []standin.ResponseFault{standin.FaultTruncated, standin.FaultExtra, standin.FaultReset, standin.FaultNotRun, standin.FaultUnframed, standin.FaultStray, standin.FaultEndless}
+	faults := []standin.ResponseFault{
+		standin.FaultTruncated,
+		standin.FaultExtra,
+		standin.FaultReset,
+		standin.FaultNotRun,
+		standin.FaultUnframed,
+		standin.FaultStray,
+		standin.FaultEndless,
+		standin.FaultCutHead,
+		standin.FaultRepeatedRefusal,
+	}
 	server, err := standin.NewServer(standin.ServerConfig{
 		ID:           fmt.Sprintf("i-%d", index),
 		Service:      service,
