End requests that arrive during a stop before the process ends

Cause: requests are accepted in the first half of the stop's time, with the client's whole deadline. One whose server needed longer than the rest was broken off at 0.85 of the time, when it could still be in progress at the exit of the process. The requests of runs that the node waited for were refused in the second half, so these runs failed. The class of fault: work taken with a deadline beyond the life of the process.

Change: internal/process/shutdown holds the schedule of a stop as code of its own. Requests and calls that arrive during a stop have a deadline before its end, so that servers end them themselves and the answer is delivered. What is still in progress then is aborted and answered before the listener closes. The requests of running calls are accepted to the end. The event of a stop that ran out of time has the counts.

--- a/internal/process/sidecar/reload_test.go
+++ b/internal/process/sidecar/reload_test.go
@@ -29,7 +29,7 @@
 			t.Errorf("%s: needs a restart %t, want %t", row.name, got, row.restart)
 		}
 		s.Reload(settings)
-		if got := s.stopDuration(1); got != settings.StopTimeout {
+		if got := time.Duration(s.stopTimeout.Load()); got != settings.StopTimeout {
 			t.Errorf("%s: a stop takes %s, want %s", row.name, got, settings.StopTimeout)
 		}
 	}
--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
 	"lagoonbarrow/internal/process/backoff"
+	"lagoonbarrow/internal/process/shutdown"
 	"lagoonbarrow/pkg/event"
 )
 
@@ -17,11 +19,6 @@
 	readinessDelay = 2500 * time.Millisecond
 	// clientIdleTime without a request ends the wait for clients early.
 	clientIdleTime = 500 * time.Millisecond
-	// acceptFraction of the stop timeout is the time in which requests are accepted.
-	// After endFraction of it the process stops waiting. The requests accepted last
-	// still have two seconds, and the rest is left for closing all parts.
-	acceptFraction = 0.5
-	endFraction    = 0.85
 	// stopPollInterval is the time between two checks for requests in progress.
 	stopPollInterval = 20 * time.Millisecond
 	// closeTimeout bounds closing the listeners once nothing is in progress.
@@ -73,17 +70,22 @@
 // in progress. The setting StopTimeout bounds the wait.
 func (s *Sidecar) Stop() {
 	started := time.Now()
+	schedule := shutdown.NewSchedule(shutdown.Config{
+		Started: started,
+		Timeout: time.Duration(s.stopTimeout.Load()),
+	})
 	s.timeline.Record(event.NodeStopping, event.Fields{})
 	s.stopping.Store(true)
-	s.requests.Drain()
-	ctx, cancel := context.WithDeadline(context.Background(), started.Add(s.stopDuration(endFraction)))
+	s.requests.Drain(schedule.Deadline)
+	s.handler.Drain(schedule.Deadline)
+	ctx, cancel := context.WithDeadline(context.Background(), schedule.AbortAt)
 	defer cancel()
 	// The backend server usually keeps running, and other nodes can use its slots
 	// while this node's clients leave.
-	s.waitForClients(ctx, started)
+	s.waitForClients(ctx, started, schedule.AcceptUntil)
 	s.leave()
 	drained := s.drainPeers(ctx)
-	s.waitForIdle(ctx, started, drained)
+	s.waitForIdle(ctx, schedule.AcceptUntil, drained)
 	s.close()
 	s.timeline.Record(event.NodeStopped, event.Fields{})
 }
@@ -99,14 +101,13 @@
 }
 
 // waitForClients waits until clients had time to detect the stop and send no more
-// requests, or until acceptFraction of the stop timeout has passed.
-func (s *Sidecar) waitForClients(ctx context.Context, started time.Time) {
+// requests, or until acceptUntil.
+func (s *Sidecar) waitForClients(ctx context.Context, started, acceptUntil time.Time) {
 	for ctx.Err() == nil {
-		elapsed := time.Since(started)
-		if elapsed > s.stopDuration(acceptFraction) {
+		if time.Now().After(acceptUntil) {
 			return
 		}
-		if elapsed > readinessDelay && s.requests.Idle() > clientIdleTime {
+		if time.Since(started) > readinessDelay && s.requests.Idle() > clientIdleTime {
 			return
 		}
 		backoff.Pause(ctx, stopPollInterval)
@@ -129,16 +130,12 @@
 	return drained
 }
 
-// stopDuration returns a fraction of the stop timeout.
-func (s *Sidecar) stopDuration(fraction float64) time.Duration {
-	return time.Duration(fraction * float64(s.stopTimeout.Load()))
-}
-
 // waitForIdle waits until other nodes have closed their connections and all requests
-// and calls have ended. After that no more requests are accepted.
-func (s *Sidecar) waitForIdle(ctx context.Context, started time.Time, drained <-chan struct{}) {
+// and calls have ended. After that no more requests are accepted. When ctx ends, it
+// aborts the requests in progress.
+func (s *Sidecar) waitForIdle(ctx context.Context, acceptUntil time.Time, drained <-chan struct{}) {
 	for ctx.Err() == nil {
-		if time.Since(started) > s.stopDuration(acceptFraction) {
+		if time.Now().After(acceptUntil) {
 			s.requests.StopAccepting()
 		}
 		if isClosed(drained) && s.idle() {
@@ -150,7 +147,11 @@
 		}
 		backoff.Pause(ctx, stopPollInterval)
 	}
-	s.timeline.Record(event.StopTimeout, event.Fields{})
+	s.timeline.Record(event.StopTimeout, event.Fields{
+		Detail: fmt.Sprintf("requests=%d calls=%d", s.requests.InFlight(), s.handler.InFlight()),
+	})
+	s.requests.StopAccepting()
+	s.requests.Abort()
 }
 
 // idle reports whether nothing is in progress.
--- a/internal/process/sidecar/sidecar_test.go
+++ b/internal/process/sidecar/sidecar_test.go
@@ -222,3 +222,58 @@
 		t.Fatalf("result %+v", got)
 	}
 }
+
+// Guards against requests that a stopping node takes and then cuts off without an answer.
+func TestRequestsTakenInAStopAreAnsweredBeforeItsEnd(t *testing.T) {
+	tests := []struct {
+		id string
+		// sentAfter is the time from the begin of the stop.
+		sentAfter time.Duration
+	}{
+		{"before", -200 * time.Millisecond},
+		{"begin", 100 * time.Millisecond},
+		{"late", readinessDelay - 300*time.Millisecond},
+		{"silent-before", -200 * time.Millisecond},
+		{"silent-late", readinessDelay - 300*time.Millisecond},
+	}
+	f := newFleet(t, lateWorkDuration, func(id string) standin.ResponseFault {
+		if strings.HasPrefix(id, "silent") {
+			return standin.FaultSilent
+		}
+		return ""
+	})
+	stopping := f.members[0]
+	begin := time.Now().Add(time.Second)
+	var wg sync.WaitGroup
+	for _, test := range tests {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			time.Sleep(time.Until(begin.Add(test.sentAfter)))
+			got := stopping.send("POST", "/file/x", test.id)
+			if got.err != nil || got.status == 503 && f.runs(test.id) > 0 || f.runs(test.id) > 1 {
+				t.Errorf("%s: status %d, error %v, %d runs", test.id, got.status, got.err, f.runs(test.id))
+			}
+		}()
+	}
+	time.Sleep(time.Until(begin))
+	stopping.sidecar.Stop()
+	stopTime := time.Since(begin)
+	// The process ends here and cuts off what is still in progress.
+	if count := stopping.sidecar.requests.InFlight(); count != 0 {
+		t.Errorf("%d requests were in progress at the end of the stop", count)
+	}
+	wg.Wait()
+	for _, m := range f.members {
+		if abandoned := m.server.Stats().Abandoned; abandoned != 0 {
+			t.Errorf("%d runs were broken off", abandoned)
+		}
+	}
+	if stopTime > stopping.sidecar.settings.StopTimeout {
+		t.Errorf("the stop took %s", stopTime)
+	}
+}
+
+// lateWorkDuration is longer than the time that a request which comes late in a stop has
+// left.
+const lateWorkDuration = 4 * time.Second
--- a/internal/request/entry/customer.go
+++ b/internal/request/entry/customer.go
@@ -254,7 +254,7 @@
 	req.addContent(ctx)
 	l.accepted.Inc(1)
 	l.record(event.RequestAccepted, req, req.root.Method+" "+req.root.Path)
-	callCtx, cancel := disconnectContext(ctx)
+	callCtx, cancel := disconnectContext(context.Background(), ctx)
 	defer cancel()
 	callCtx, cancelDeadline := context.WithDeadline(callCtx, req.deadline)
 	defer cancelDeadline()
--- a/internal/request/entry/disconnect.go
+++ b/internal/request/entry/disconnect.go
@@ -22,11 +22,11 @@
 	done chan struct{}
 }
 
-// disconnectContext returns a context that is cancelled when the client closes its
-// connection, which fasthttp doesn't report to handlers. The handler must call the
+// disconnectContext returns a context of a parent that is cancelled when the client closes
+// its connection, which fasthttp doesn't report to handlers. The handler must call the
 // returned function before it returns.
-func disconnectContext(requestCtx *fasthttp.RequestCtx) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(context.Background())
+func disconnectContext(parent context.Context, requestCtx *fasthttp.RequestCtx) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(parent)
 	connection, ok := requestCtx.Conn().(syscall.Conn)
 	if !ok {
 		return ctx, cancel
--- a/internal/request/entry/disconnect_test.go
+++ b/internal/request/entry/disconnect_test.go
@@ -22,7 +22,7 @@
 		MaxHeaderBytes: 4 << 10,
 		MaxConnections: 10,
 	}, func(requestCtx *fasthttp.RequestCtx) {
-		ctx, cancel := disconnectContext(requestCtx)
+		ctx, cancel := disconnectContext(context.Background(), requestCtx)
 		defer cancel()
 		contexts <- ctx
 		<-release
@@ -132,7 +132,7 @@
 		MaxConnections: 10,
 	}, hclog.NewNullLogger(), func(requestCtx *fasthttp.RequestCtx) {
 		_ = requestCtx.Conn().SetReadDeadline(time.Now())
-		ctx, cancel := disconnectContext(requestCtx)
+		ctx, cancel := disconnectContext(context.Background(), requestCtx)
 		defer cancel()
 		contexts <- ctx
 		<-release
--- a/internal/request/entry/local.go
+++ b/internal/request/entry/local.go
@@ -61,7 +61,7 @@
 		writeError(ctx, fasthttp.StatusBadRequest, "the path must be /{service}/{path}")
 		return
 	}
-	callCtx, cancel := disconnectContext(ctx)
+	callCtx, cancel := disconnectContext(context.Background(), ctx)
 	defer cancel()
 	callCtx, cancelDeadline := context.WithDeadline(callCtx, account.Deadline())
 	defer cancelDeadline()
--- a/internal/request/entry/routed.go
+++ b/internal/request/entry/routed.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/process/shutdown"
 	"lagoonbarrow/internal/request/execute"
 	"lagoonbarrow/internal/request/forward"
 	"lagoonbarrow/internal/version/routing"
@@ -56,8 +57,11 @@
 	// thresholds are the thresholds in the answers to client requests, by route.
 	thresholds *thresholds
 	inFlight   atomic.Int64
-	// draining is set when answers should close their connections.
-	draining atomic.Bool
+	// stopDeadline is set when answers should close their connections.
+	stopDeadline shutdown.Deadline
+	// work is cancelled to abort all requests.
+	work  context.Context
+	abort context.CancelFunc
 	// closed is set when new requests are refused.
 	closed atomic.Bool
 	// lastRequest is the Unix time in nanoseconds of the last request.
@@ -66,8 +70,11 @@
 
 // NewRoutedListener returns a listener that is not started yet.
 func NewRoutedListener(config RoutedConfig) *RoutedListener {
+	work, abort := context.WithCancel(context.Background())
 	listener := &RoutedListener{
 		config:     config,
+		work:       work,
+		abort:      abort,
 		thresholds: newThresholds(routedDecay, time.Now),
 		droppedHeaders: []string{
 			strings.ToLower(config.Headers.RequestID),
@@ -87,16 +94,23 @@
 	return l.server.start()
 }
 
-// Drain makes every answer close its connection.
-func (l *RoutedListener) Drain() {
-	l.draining.Store(true)
+// Drain makes every answer close its connection, and bounds the deadlines of the requests
+// that arrive from now on.
+func (l *RoutedListener) Drain(deadline time.Time) {
+	l.stopDeadline.Set(deadline)
 }
 
-// StopAccepting makes the listener refuse new requests. Requests in progress continue.
+// StopAccepting makes the listener refuse new requests, except those that a running call
+// of the backend server needs. Requests in progress continue.
 func (l *RoutedListener) StopAccepting() {
 	l.closed.Store(true)
 }
 
+// Abort aborts all requests, which are answered.
+func (l *RoutedListener) Abort() {
+	l.abort()
+}
+
 // InFlight returns the number of requests in progress.
 func (l *RoutedListener) InFlight() int {
 	return int(l.inFlight.Load())
@@ -117,7 +131,7 @@
 	l.lastRequest.Store(received.UnixNano())
 	l.inFlight.Add(1)
 	defer l.inFlight.Add(-1)
-	if l.draining.Load() {
+	if l.stopDeadline.IsSet() {
 		ctx.SetConnectionClose()
 	}
 	request, refused := l.accept(ctx, received)
@@ -131,7 +145,7 @@
 		l.shed(ctx, request)
 		return
 	}
-	callCtx, cancel := disconnectContext(ctx)
+	callCtx, cancel := disconnectContext(l.work, ctx)
 	defer cancel()
 	answer := l.config.Forwarder.Do(callCtx, request)
 	l.observeAnswer(request, parent, answer)
@@ -184,7 +198,8 @@
 // accept parses a request and finds its route. It returns a refusal if the request
 // can't be forwarded.
 func (l *RoutedListener) accept(ctx *fasthttp.RequestCtx, received time.Time) (*forward.Request, *refusal) {
-	if l.closed.Load() {
+	id := lagoonbarrow.RequestID(ctx.Request.Header.Peek(l.config.Headers.RequestID))
+	if l.closed.Load() && !l.hasParent(id) {
 		return nil, &refusal{
 			status:     fasthttp.StatusServiceUnavailable,
 			retryAfter: stoppingRetryAfter,
@@ -214,7 +229,7 @@
 		}
 	}
 	request := &forward.Request{
-		ID:       lagoonbarrow.RequestID(ctx.Request.Header.Peek(l.config.Headers.RequestID)),
+		ID:       id,
 		Route:    route,
 		Service:  route.Service(),
 		Host:     host,
@@ -223,11 +238,17 @@
 		Header:   l.requestHeader(ctx),
 		Body:     ctx.Request.Body(),
 		Received: received,
-		Deadline: received.Add(min(route.Timeout, l.clientTimeout(ctx))),
+		Deadline: l.stopDeadline.Bound(received.Add(min(route.Timeout, l.clientTimeout(ctx)))),
 	}
 	return request, nil
 }
 
+// hasParent reports whether a request belongs to a running call of the backend server.
+func (l *RoutedListener) hasParent(id lagoonbarrow.RequestID) bool {
+	_, found := l.config.Parent(id)
+	return found
+}
+
 // inheritFromParent gives a request of the backend server the priority and the deadline
 // of the call that it belongs to, and returns that call. For a client request it sets
 // the priority from the route and returns nil.
--- a/internal/request/entry/routed_test.go
+++ b/internal/request/entry/routed_test.go
@@ -103,3 +103,44 @@
 		})
 	}
 }
+
+// Guards against a stopping node that refuses the requests of the runs that it waits for,
+// which then fail.
+func TestStoppingListenerServesOnlyTheRequestsOfRunningCalls(t *testing.T) {
+	const timeLeft = 300 * time.Millisecond
+	tests := []struct {
+		name       string
+		hasParent  bool
+		wantStatus int
+	}{
+		{"client", false, fasthttp.StatusServiceUnavailable},
+		{"running call", true, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			listener, _ := newSheddingListener()
+			listener.config.Parent = func(lagoonbarrow.RequestID) (*execute.Run, bool) {
+				return &execute.Run{}, test.hasParent
+			}
+			now := time.Now()
+			listener.Drain(now.Add(timeLeft))
+			listener.StopAccepting()
+			var ctx fasthttp.RequestCtx
+			ctx.Request.SetRequestURI("/read/x")
+			ctx.Request.Header.SetHost("one.example")
+			request, refused := listener.accept(&ctx, now)
+			if refused != nil {
+				if refused.status != test.wantStatus {
+					t.Fatalf("refused with %d", refused.status)
+				}
+				return
+			}
+			if test.wantStatus != 0 {
+				t.Fatal("accepted")
+			}
+			if got := request.Deadline.Sub(now); got != timeLeft {
+				t.Fatalf("%s until the deadline, want %s", got, timeLeft)
+			}
+		})
+	}
+}
--- a/internal/request/execute/handler.go
+++ b/internal/request/execute/handler.go
@@ -15,6 +15,7 @@
 	"lagoonbarrow/internal/process/circuit"
 	"lagoonbarrow/internal/process/registration"
 	"lagoonbarrow/internal/process/retry"
+	"lagoonbarrow/internal/process/shutdown"
 	"lagoonbarrow/internal/process/slots"
 	"lagoonbarrow/pkg/event"
 )
@@ -52,7 +53,9 @@
 	config  Config
 	running *activeCalls
 	breaker breaker
-	closed  atomic.Bool
+	// stopDeadline bounds the deadlines of calls while the node stops.
+	stopDeadline shutdown.Deadline
+	closed       atomic.Bool
 }
 
 var _ lagoonbarrow.CallHandler = (*Handler)(nil)
@@ -89,14 +92,14 @@
 }
 
 func (h *Handler) handle(ctx context.Context, call *lagoonbarrow.Call) *lagoonbarrow.Answer {
-	deadline := time.Now().Add(call.Remaining)
+	deadline := h.stopDeadline.Bound(time.Now().Add(call.Remaining))
 	if refusal := h.checkServer(call); refusal != nil {
 		return refusal
 	}
 	release, err := h.config.Gate.Acquire(ctx, slots.Demand{
 		Priority: call.Priority,
 		Nested:   call.Nested,
-		MaxWait:  min(call.MaxWait, call.Remaining),
+		MaxWait:  min(call.MaxWait, time.Until(deadline)),
 	})
 	if err != nil {
 		return shedRefusal(call, err)
@@ -236,6 +239,11 @@
 	return refusal
 }
 
+// Drain bounds the deadlines of the calls that arrive from now on.
+func (h *Handler) Drain(deadline time.Time) {
+	h.stopDeadline.Set(deadline)
+}
+
 // Close makes the handler refuse new calls. Running calls continue.
 func (h *Handler) Close() {
 	h.closed.Store(true)
