--- a/internal/process/feed/messages.go
+++ b/internal/process/feed/messages.go
@@ -57,8 +57,8 @@
 }
 
 // HandleMessage answers at once if there are changes, the copy is stale or missing, its
-// history is lost, or the store doesn't serve this node. Otherwise it waits for the requested time, until there are changes or
-// the copy is confirmed again.
+// history is lost, or the store doesn't serve this node. Otherwise it waits for the
+// requested time, until there are changes or the copy is confirmed again.
 func (h *Handler) HandleMessage(ctx context.Context, _ lagoonbarrow.InstanceID, message lagoonbarrow.Message) (lagoonbarrow.Message, error) {
 	var request changesRequest
 	if err := msgpack.Unmarshal(message.Body, &request); err != nil {
