--- a/internal/process/feed/changes.go
+++ b/internal/process/feed/changes.go
@@ -30,17 +30,17 @@
 	// storeRetryInterval is the time after a failed call to the store in which other nodes
 	// are queried before it.
 	storeRetryInterval = 3 * time.Second
-	// patientReadTimeout bounds the last read of the store, which may be slow.
-	patientReadTimeout = 2 * time.Second
-	// maxDetours is the number of further nodes that are queried in one round.
-	maxDetours = 4
-	// detourTimeout bounds the query to one of them, which doesn't wait for changes.
-	detourTimeout = 200 * time.Millisecond
-	// detourInterval is the time between the first two rounds. It doubles with each round.
-	detourInterval = 400 * time.Millisecond
-	// detourDuration is how long a node that had a recent copy serves as second source
+	// slowReadTimeout bounds the last read of the store, which may be slow.
+	slowReadTimeout = 2 * time.Second
+	// maxFallbacks is the number of further nodes that are queried in one round.
+	maxFallbacks = 4
+	// fallbackTimeout bounds the query to one of them, which doesn't wait for changes.
+	fallbackTimeout = 200 * time.Millisecond
+	// fallbackInterval is the time between the first two rounds. It doubles with each round.
+	fallbackInterval = 400 * time.Millisecond
+	// fallbackDuration is how long a node that had a recent copy serves as second source
 	// after its last useful reply.
-	detourDuration = 10 * time.Second
+	fallbackDuration = 10 * time.Second
 	// recentSlack is how much older than the wait the copy of a node may be to count as
 	// recent.
 	recentSlack = 200 * time.Millisecond
@@ -88,8 +88,8 @@
 func (s *search) run(ctx context.Context) (*result, error) {
 	steps := []func(context.Context) (*result, error){
 		s.querySources,
-		s.queryDetoursFirst,
-		s.readStoreAndDetour,
+		s.queryFallbacksFirst,
+		s.readStoreAndFallbacks,
 	}
 	var found *result
 	var err error
@@ -115,7 +115,7 @@
 		if source.ID == s.feed.config.Self {
 			found, err = s.readStore(ctx)
 		} else {
-			found, err = s.querySource(ctx, source, max(maxAges[i]-s.age(), detourTimeout))
+			found, err = s.querySource(ctx, source, max(maxAges[i]-s.age(), fallbackTimeout))
 		}
 		if err == nil || errors.Is(err, lagoonbarrow.ErrHistoryLost) || ctx.Err() != nil {
 			return found, err
@@ -139,12 +139,12 @@
 	return max(s.wait-s.age(), 0)
 }
 
-// queryDetoursFirst queries other nodes if the store has failed a short time ago.
-func (s *search) queryDetoursFirst(ctx context.Context) (*result, error) {
+// queryFallbacksFirst queries other nodes if the store has failed a short time ago.
+func (s *search) queryFallbacksFirst(ctx context.Context) (*result, error) {
 	if s.feed.storeUsable() {
 		return nil, errors.Wrap(lagoonbarrow.ErrUnavailable, "feed: the store is queried first")
 	}
-	return s.queryDetours(ctx)
+	return s.queryFallbacks(ctx)
 }
 
 // outcome is the outcome of a call to the store.
@@ -153,28 +153,28 @@
 	err   error
 }
 
-// readStoreAndDetour reads the store, which may be slow, and queries other nodes while it
+// readStoreAndFallbacks reads the store, which may be slow, and queries other nodes while it
 // gives no response.
-func (s *search) readStoreAndDetour(ctx context.Context) (*result, error) {
+func (s *search) readStoreAndFallbacks(ctx context.Context) (*result, error) {
 	wait := s.storeWait()
-	ctx, cancel := context.WithTimeout(ctx, wait+patientReadTimeout)
+	ctx, cancel := context.WithTimeout(ctx, wait+slowReadTimeout)
 	defer cancel()
 	read := make(chan outcome, 1)
 	go s.feed.panics.Run(ctx, "read of the store", func(ctx context.Context) {
-		found, err := s.readStoreUntil(ctx, wait, wait+patientReadTimeout)
+		found, err := s.readStoreUntil(ctx, wait, wait+slowReadTimeout)
 		read <- outcome{
 			found: found,
 			err:   err,
 		}
 	})
-	interval := detourInterval
+	interval := fallbackInterval
 	timer := time.NewTimer(wait + storeReplyTimeout)
 	defer timer.Stop()
 	for {
 		select {
 		case done := <-read:
 			if done.err != nil && !errors.Is(done.err, lagoonbarrow.ErrHistoryLost) {
-				return s.queryDetoursAfter(ctx, done.err)
+				return s.queryFallbacksAfter(ctx, done.err)
 			}
 			return done.found, done.err
 		case <-timer.C:
@@ -182,7 +182,7 @@
 			s.queried = map[lagoonbarrow.InstanceID]bool{
 				s.feed.config.Self: true,
 			}
-			found, err := s.queryDetours(ctx)
+			found, err := s.queryFallbacks(ctx)
 			if err == nil {
 				s.feed.recordStoreFailure()
 				return found, nil
@@ -193,10 +193,10 @@
 	}
 }
 
-// queryDetoursAfter queries other nodes and returns the store's error if they have
+// queryFallbacksAfter queries other nodes and returns the store's error if they have
 // nothing recent.
-func (s *search) queryDetoursAfter(ctx context.Context, storeErr error) (*result, error) {
-	found, err := s.queryDetours(ctx)
+func (s *search) queryFallbacksAfter(ctx context.Context, storeErr error) (*result, error) {
+	found, err := s.queryFallbacks(ctx)
 	if err != nil {
 		return nil, storeErr
 	}
@@ -243,23 +243,23 @@
 		return nil, errors.Wrap(lagoonbarrow.ErrUnavailable, err.Error())
 	}
 	s.feed.stopAvoiding(node.ID)
-	s.feed.extendDetour(node.ID)
+	s.feed.extendFallback(node.ID)
 	return s.accept(reply, node.ID), nil
 }
 
-// queryDetours queries a few other nodes. It answers the load of a store that serves some
+// queryFallbacks queries a few other nodes. It answers the load of a store that serves some
 // nodes only: any node that it serves, and each that has queried one, has a recent copy.
-func (s *search) queryDetours(ctx context.Context) (*result, error) {
+func (s *search) queryFallbacks(ctx context.Context) (*result, error) {
 	err := errors.Wrap(lagoonbarrow.ErrUnavailable, "feed: no other node is known")
-	for _, node := range s.detours() {
+	for _, node := range s.fallbacks() {
 		s.queried[node.ID] = true
 		var reply *changesReply
-		reply, err = s.query(ctx, node, 0, detourTimeout)
+		reply, err = s.query(ctx, node, 0, fallbackTimeout)
 		if err == nil {
 			err = s.check(reply)
 		}
 		if err == nil {
-			s.feed.setDetour(node.ID)
+			s.feed.setFallback(node.ID)
 			return s.accept(reply, node.ID), nil
 		}
 		if ctx.Err() != nil {
@@ -272,12 +272,12 @@
 	return nil, errors.Wrap(lagoonbarrow.ErrUnavailable, err.Error())
 }
 
-// detours returns random nodes that were not queried yet, the avoided ones last.
-func (s *search) detours() []lagoonbarrow.Instance {
+// fallbacks returns random nodes that were not queried yet, the avoided ones last.
+func (s *search) fallbacks() []lagoonbarrow.Instance {
 	members := slices.DeleteFunc(s.feed.config.Members(), func(m lagoonbarrow.Instance) bool { return s.queried[m.ID] })
 	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
 	members = s.feed.avoidedLast(members)
-	return members[:min(maxDetours, len(members))]
+	return members[:min(maxFallbacks, len(members))]
 }
 
 // age returns the time since the node's copy was last confirmed as the store's newest.
--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -52,10 +52,10 @@
 	avoided map[lagoonbarrow.InstanceID]avoidance
 	// storeFailedAt is the time of the last call to the store if it failed.
 	storeFailedAt time.Time
-	// detour is a node that had a recent copy when the sources and the store had none. It
-	// is the second source until detourUntil.
-	detour      lagoonbarrow.InstanceID
-	detourUntil time.Time
+	// fallback is a node that had a recent copy when the sources and the store had none. It
+	// is the second source until fallbackUntil.
+	fallback      lagoonbarrow.InstanceID
+	fallbackUntil time.Time
 }
 
 var _ lagoonbarrow.ChangeFeed = (*Feed)(nil)
@@ -101,7 +101,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.storeFailedAt = time.Time{}
-	f.detour = ""
+	f.fallback = ""
 	f.config.Cache.storeFailing.Store(false)
 }
 
@@ -131,30 +131,30 @@
 	delete(f.avoided, id)
 }
 
-// setDetour makes a node the second source for a time.
-func (f *Feed) setDetour(id lagoonbarrow.InstanceID) {
+// setFallback makes a node the second source for a time.
+func (f *Feed) setFallback(id lagoonbarrow.InstanceID) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.avoided, id)
-	f.detour = id
-	f.detourUntil = f.config.Now().Add(detourDuration)
+	f.fallback = id
+	f.fallbackUntil = f.config.Now().Add(fallbackDuration)
 }
 
-// extendDetour keeps the second source after a useful reply.
-func (f *Feed) extendDetour(id lagoonbarrow.InstanceID) {
-	if f.currentDetour() == id {
-		f.setDetour(id)
+// extendFallback keeps the second source after a useful reply.
+func (f *Feed) extendFallback(id lagoonbarrow.InstanceID) {
+	if f.currentFallback() == id {
+		f.setFallback(id)
 	}
 }
 
-// currentDetour returns the node that is the second source, or "".
-func (f *Feed) currentDetour() lagoonbarrow.InstanceID {
+// currentFallback returns the node that is the second source, or "".
+func (f *Feed) currentFallback() lagoonbarrow.InstanceID {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.config.Now().After(f.detourUntil) {
+	if f.config.Now().After(f.fallbackUntil) {
 		return ""
 	}
-	return f.detour
+	return f.fallback
 }
 
 // sources returns the nodes to query, in this order, according to this node's members.
@@ -169,12 +169,12 @@
 	for _, candidate := range candidates[:min(maxSources, len(candidates))] {
 		selected = append(selected, *candidate.member)
 	}
-	detour := f.currentDetour()
-	if detour == "" || len(selected) == 0 || selected[0].ID == detour {
+	fallback := f.currentFallback()
+	if fallback == "" || len(selected) == 0 || selected[0].ID == fallback {
 		return selected
 	}
 	for _, member := range members {
-		if member.ID == detour {
+		if member.ID == fallback {
 			return append(selected[:1], member)
 		}
 	}
