Count a response that is read late as old

What callers would see: for a moment, requests handled by an old configuration, at a node that is told by another one that its copy is current.

Cause: a response without changes confirmed the copy as of the time when it was read. A node that was frozen while the response lay in its socket confirmed a copy that was as old as the freeze, and passed it on with age 0. The class of fault: an age that is counted from the receipt, not from the time at which the content was true.

Change: what a response took beyond its wait counts as age of its content, for the store and for other nodes.

Evidence: TestResponseReadLateIsNotRecent failed before in both cases (lacks a change of 2.5 s ago, and is 0s old), passes now; feed and sidecar pass with the race detector. A machine that is suspended doesn't count that time in its steady clock; that remains.

--- a/internal/process/feed/bound_test.go
+++ b/internal/process/feed/bound_test.go
@@ -226,6 +226,52 @@
 	})
 }
 
+// Guards against an old response that a node reads after it was frozen and passes on as
+// the store's newest version.
+func TestResponseReadLateIsNotRecent(t *testing.T) {
+	const frozen = 5 * time.Second
+	tests := []struct {
+		name string
+		// distance is the number of nodes between the first reader and the frozen node.
+		distance int
+	}{
+		{"of the store", 0},
+		{"of a node", 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSimulation(1, 3, 1)
+				defer s.stop()
+				for _, n := range s.nodes {
+					n.start()
+				}
+				time.Sleep(5 * time.Second)
+				n := s.nodes[(s.readers()[0]+test.distance)%len(s.nodes)]
+				feed := n.newFeed()
+				if _, _, err := feed.Rows(t.Context(), tableName); err != nil {
+					t.Fatal(err)
+				}
+				go func() {
+					time.Sleep(boundWait / 2)
+					n.setFault(faultFrozen, true)
+					time.Sleep(frozen / 2)
+					s.store.put("a", false)
+					time.Sleep(frozen / 2)
+					n.setFault(faultFrozen, false)
+				}()
+				_, version, err := feed.Changes(t.Context(), tableName, 0, boundWait)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if age := feed.config.Cache.age(tableName); version == 0 && age < frozen/2 {
+					t.Errorf("the copy lacks a change of %s ago, and is %s old", frozen/2, age)
+				}
+			})
+		})
+	}
+}
+
 // Guards against nodes that repeat their queries without a pause while the store turns
 // them away.
 func TestTurnedAwayNodesSendFewQueries(t *testing.T) {
--- a/internal/process/feed/changes.go
+++ b/internal/process/feed/changes.go
@@ -131,7 +131,9 @@
 		return nil, errors.Wrap(lagoonbarrow.ErrUnavailable, "feed: the store has just failed")
 	}
 	wait := s.storeWait()
-	return s.readStoreUntil(ctx, wait, wait+firstSourceSlack)
+	limited, cancel := context.WithTimeout(ctx, wait+firstSourceSlack)
+	defer cancel()
+	return s.accepted(ctx, s.feed.readChanges(limited, s.table, s.after, wait))
 }
 
 // storeWait returns how long a call to the store may wait for changes.
@@ -147,42 +149,33 @@
 	return s.queryFallbacks(ctx)
 }
 
-// outcome is the outcome of a call to the store.
-type outcome struct {
-	found *result
-	err   error
-}
-
 // readStoreAndFallbacks reads the store, which may be slow, and queries other nodes while it
 // gives no response.
 func (s *search) readStoreAndFallbacks(ctx context.Context) (*result, error) {
 	wait := s.storeWait()
-	ctx, cancel := context.WithTimeout(ctx, wait+slowReadTimeout)
+	limited, cancel := context.WithTimeout(ctx, wait+slowReadTimeout)
 	defer cancel()
-	read := make(chan outcome, 1)
-	go s.feed.panics.Run(ctx, "read of the store", func(ctx context.Context) {
-		found, err := s.readStoreUntil(ctx, wait, wait+slowReadTimeout)
-		read <- outcome{
-			found: found,
-			err:   err,
-		}
+	read := make(chan storeResponse, 1)
+	go s.feed.panics.Run(limited, "read of the store", func(ctx context.Context) {
+		read <- s.feed.readChanges(ctx, s.table, s.after, wait)
 	})
 	interval := fallbackInterval
 	timer := time.NewTimer(wait + storeReplyTimeout)
 	defer timer.Stop()
 	for {
 		select {
-		case done := <-read:
-			if done.err != nil && !errors.Is(done.err, lagoonbarrow.ErrHistoryLost) {
-				return s.queryFallbacksAfter(ctx, done.err)
+		case response := <-read:
+			found, err := s.accepted(ctx, response)
+			if err != nil && !errors.Is(err, lagoonbarrow.ErrHistoryLost) {
+				return s.queryFallbacksAfter(ctx, err)
 			}
-			return done.found, done.err
+			return found, err
 		case <-timer.C:
 			// The nodes may have a recent copy by now.
 			s.queried = map[lagoonbarrow.InstanceID]bool{
 				s.feed.config.Self: true,
 			}
-			found, err := s.queryFallbacks(ctx)
+			found, err := s.queryFallbacks(limited)
 			if err == nil {
 				s.feed.recordStoreFailure()
 				return found, nil
@@ -203,23 +196,16 @@
 	return found, nil
 }
 
-// readStoreUntil calls the store with a time limit.
-func (s *search) readStoreUntil(ctx context.Context, wait, timeout time.Duration) (*result, error) {
-	limited, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	changes, version, err := s.feed.config.Store.Changes(limited, s.table, s.after, wait)
-	if err != nil {
-		if ctx.Err() == nil && !errors.Is(err, lagoonbarrow.ErrHistoryLost) {
-			s.feed.recordStoreFailure()
-		}
-		return nil, err
+// accepted applies the changes in a response of the store to this node's copy.
+func (s *search) accepted(ctx context.Context, response storeResponse) (*result, error) {
+	s.feed.recordResponse(ctx, response.err)
+	if response.err != nil {
+		return nil, response.err
 	}
-	s.feed.recordStoreSuccess()
-	version = max(version, s.after)
-	s.feed.apply(s.table, changes, version, 0, "")
+	s.feed.apply(s.table, response.changes, response.version, response.age, "")
 	return &result{
-		changes: changes,
-		version: version,
+		changes: response.changes,
+		version: response.version,
 	}, nil
 }
 
@@ -318,6 +304,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	started := s.feed.config.Now()
 	response, err := s.feed.config.Sender.Send(ctx, node.Peer, lagoonbarrow.Message{
 		Kind: kindChanges,
 		Body: body,
@@ -326,6 +313,9 @@
 		return nil, err
 	}
 	reply := &changesReply{}
-	err = msgpack.Unmarshal(response.Body, reply)
-	return reply, errors.Wrap(err, "feed: decode reply")
+	if err := msgpack.Unmarshal(response.Body, reply); err != nil {
+		return nil, errors.Wrap(err, "feed: decode reply")
+	}
+	reply.Age += lateness(s.feed.config.Now().Sub(started), wait)
+	return reply, nil
 }
--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -75,12 +75,12 @@
 // Rows returns all rows of a table from the store. Nodes read all rows at their start
 // and after they lost the history, when their list of the other nodes is outdated.
 func (f *Feed) Rows(ctx context.Context, table string) ([]lagoonbarrow.Row, lagoonbarrow.RowVersion, error) {
-	rows, version, err := f.config.Store.Rows(ctx, table)
-	if err == nil {
+	response := f.readRows(ctx, table)
+	if response.err == nil {
 		f.recordStoreSuccess()
-		f.config.Cache.Replace(table, rows, version, 0)
+		f.config.Cache.Replace(table, response.rows, response.version, response.age)
 	}
-	return rows, version, err
+	return response.rows, response.version, response.err
 }
 
 // storeUsable reports whether the store may be called again after a failed call.
--- /dev/null
+++ b/internal/process/feed/store.go
@@ -0,0 +1,61 @@
+package feed
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lagoonbarrow"
+)
+
+// storeResponse is the response of the store to one call.
+type storeResponse struct {
+	rows    []lagoonbarrow.Row
+	changes []lagoonbarrow.Change
+	version lagoonbarrow.RowVersion
+	// age is the longest time for which version may not be the newest one any more.
+	age time.Duration
+	err error
+}
+
+// readRows reads all rows of a table from the store.
+func (f *Feed) readRows(ctx context.Context, table string) storeResponse {
+	started := f.config.Now()
+	rows, version, err := f.config.Store.Rows(ctx, table)
+	return storeResponse{
+		rows:    rows,
+		version: version,
+		age:     f.config.Now().Sub(started),
+		err:     err,
+	}
+}
+
+// readChanges waits for changes at the store.
+func (f *Feed) readChanges(ctx context.Context, table string, after lagoonbarrow.RowVersion, wait time.Duration) storeResponse {
+	started := f.config.Now()
+	changes, version, err := f.config.Store.Changes(ctx, table, after, wait)
+	return storeResponse{
+		changes: changes,
+		version: max(version, after),
+		age:     lateness(f.config.Now().Sub(started), wait),
+		err:     err,
+	}
+}
+
+// lateness returns how much longer than its wait a call took. A response may have been
+// ready for that long, as when this node was frozen meanwhile.
+func lateness(took, wait time.Duration) time.Duration {
+	return max(took-wait, 0)
+}
+
+// recordResponse records whether the store serves this node. The end of the caller's ctx
+// and a lost history say nothing about it.
+func (f *Feed) recordResponse(ctx context.Context, err error) {
+	switch {
+	case err == nil:
+		f.recordStoreSuccess()
+	case ctx.Err() == nil && !errors.Is(err, lagoonbarrow.ErrHistoryLost):
+		f.recordStoreFailure()
+	}
+}
