Bound the reads whose response is lost at the end of an outage

What callers would see: a node that answers 503 for up to 5 s after the store is back, because it started in the outage; requests handled by a configuration that was replaced more than 2 s ago, at a node that reaches only the store.

Cause: a call to the store that begins just before an outage ends, and whose response is lost, was waited for until its limit of 4 s at the first read of the rows and after a lost history, where no other node is queried, and 2 s otherwise. Then up to four silent nodes were queried for 200 ms each before the store. The class of fault: time limits for each step where the bound is for all of them.

Change: a read begins a second call when there is no response for 1 s; the first call that ends decides. The nodes that are queried instead of the store overlap, 60 ms apart.

Evidence: TestPropertyChangesAreInTime plays random faults of nodes, links and the store on ten nodes for 90 simulated seconds and checks at each moment that a node that has worked for 3 s has all changes older than 2 s.

--- a/internal/process/feed/changes.go
+++ b/internal/process/feed/changes.go
@@ -36,6 +36,8 @@
 	maxFallbacks = 4
 	// fallbackTimeout bounds the query to one of them, which doesn't wait for changes.
 	fallbackTimeout = 200 * time.Millisecond
+	// fallbackStagger is the time without a reply after which the next one is queried.
+	fallbackStagger = 60 * time.Millisecond
 	// fallbackInterval is the time between the first two rounds. It doubles with each round.
 	fallbackInterval = 400 * time.Millisecond
 	// fallbackDuration is how long a node that had a recent copy serves as second source
@@ -156,8 +158,10 @@
 	limited, cancel := context.WithTimeout(ctx, wait+slowReadTimeout)
 	defer cancel()
 	read := make(chan storeResponse, 1)
-	go s.feed.panics.Run(limited, "read of the store", func(ctx context.Context) {
-		read <- s.feed.readChanges(ctx, s.table, s.after, wait)
+	go s.feed.panics.Run(limited, "reads of the store", func(ctx context.Context) {
+		read <- s.feed.callTwice(ctx, wait, func(ctx context.Context, wait time.Duration) storeResponse {
+			return s.feed.readChanges(ctx, s.table, s.after, wait)
+		})
 	})
 	interval := fallbackInterval
 	timer := time.NewTimer(wait + storeReplyTimeout)
@@ -233,31 +237,66 @@
 	return s.accept(reply, node.ID), nil
 }
 
+// fallbackReply is the reply of a node that is not a source.
+type fallbackReply struct {
+	node  lagoonbarrow.InstanceID
+	reply *changesReply
+	err   error
+}
+
 // queryFallbacks queries a few other nodes. It answers the load of a store that serves some
-// nodes only: any node that it serves, and each that has queried one, has a recent copy.
+// nodes only: any node that it serves, and each that has queried one, has a recent copy. It
+// doesn't wait for the reply of a silent node before it queries the next one.
 func (s *search) queryFallbacks(ctx context.Context) (*result, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	nodes := s.fallbacks()
+	replies := make(chan fallbackReply, len(nodes))
+	next := time.NewTicker(fallbackStagger)
+	defer next.Stop()
 	err := errors.Wrap(lagoonbarrow.ErrUnavailable, "feed: no other node is known")
-	for _, node := range s.fallbacks() {
-		s.queried[node.ID] = true
-		var reply *changesReply
-		reply, err = s.query(ctx, node, 0, fallbackTimeout)
-		if err == nil {
-			err = s.check(reply)
+	for begun, ended := 0, 0; ended < len(nodes); {
+		if begun == ended {
+			s.queryFallback(ctx, nodes[begun], replies)
+			begun++
 		}
-		if err == nil {
-			s.feed.setFallback(node.ID)
-			return s.accept(reply, node.ID), nil
-		}
-		if ctx.Err() != nil {
-			return nil, err
-		}
-		if errors.Is(err, lagoonbarrow.ErrNotSent) {
-			s.feed.avoid(node.ID, s.table, err)
+		select {
+		case reply := <-replies:
+			ended++
+			if reply.err == nil {
+				s.feed.setFallback(reply.node)
+				return s.accept(reply.reply, reply.node), nil
+			}
+			err = reply.err
+			if errors.Is(err, lagoonbarrow.ErrNotSent) && ctx.Err() == nil {
+				s.feed.avoid(reply.node, s.table, err)
+			}
+		case <-next.C:
+			if begun < len(nodes) {
+				s.queryFallback(ctx, nodes[begun], replies)
+				begun++
+			}
 		}
 	}
 	return nil, errors.Wrap(lagoonbarrow.ErrUnavailable, err.Error())
 }
 
+// queryFallback begins a query that doesn't wait for changes.
+func (s *search) queryFallback(ctx context.Context, node lagoonbarrow.Instance, replies chan<- fallbackReply) {
+	s.queried[node.ID] = true
+	go s.feed.panics.Run(ctx, "query of a node", func(ctx context.Context) {
+		reply, err := s.query(ctx, node, 0, fallbackTimeout)
+		if err == nil {
+			err = s.check(reply)
+		}
+		replies <- fallbackReply{
+			node:  node.ID,
+			reply: reply,
+			err:   err,
+		}
+	})
+}
+
 // fallbacks returns random nodes that were not queried yet, the avoided ones last.
 func (s *search) fallbacks() []lagoonbarrow.Instance {
 	members := slices.DeleteFunc(s.feed.config.Members(), func(m lagoonbarrow.Instance) bool { return s.queried[m.ID] })
--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -75,7 +75,9 @@
 // Rows returns all rows of a table from the store. Nodes read all rows at their start
 // and after they lost the history, when their list of the other nodes is outdated.
 func (f *Feed) Rows(ctx context.Context, table string) ([]lagoonbarrow.Row, lagoonbarrow.RowVersion, error) {
-	response := f.readRows(ctx, table)
+	response := f.callTwice(ctx, 0, func(ctx context.Context, _ time.Duration) storeResponse {
+		return f.readRows(ctx, table)
+	})
 	if response.err == nil {
 		f.recordStoreSuccess()
 		f.config.Cache.Replace(table, response.rows, response.version, response.age)
--- a/internal/process/feed/store.go
+++ b/internal/process/feed/store.go
@@ -9,6 +9,10 @@
 	"lagoonbarrow"
 )
 
+// secondCallDelay is the time without a response after which a second call to the store
+// begins. A slow store usually responds earlier.
+const secondCallDelay = time.Second
+
 // storeResponse is the response of the store to one call.
 type storeResponse struct {
 	rows    []lagoonbarrow.Row
@@ -19,6 +23,34 @@
 	err error
 }
 
+// storeCall makes one call to the store, which may wait for changes.
+type storeCall func(ctx context.Context, wait time.Duration) storeResponse
+
+// callTwice makes a call to the store, and a second one if there is no response for a time
+// after the wait. The first call that ends decides. It answers the load of a store that
+// works again: a response that was lost in the outage would otherwise hold up the read
+// until its time limit.
+func (f *Feed) callTwice(ctx context.Context, wait time.Duration, call storeCall) storeResponse {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	responses := make(chan storeResponse, 2)
+	begin := func(wait time.Duration) {
+		go f.panics.Run(ctx, "read of the store", func(ctx context.Context) {
+			responses <- call(ctx, wait)
+		})
+	}
+	begin(wait)
+	timer := time.NewTimer(wait + secondCallDelay)
+	defer timer.Stop()
+	select {
+	case response := <-responses:
+		return response
+	case <-timer.C:
+	}
+	begin(0)
+	return <-responses
+}
+
 // readRows reads all rows of a table from the store.
 func (f *Feed) readRows(ctx context.Context, table string) storeResponse {
 	started := f.config.Now()
