Part the queries of further nodes from the search for changes

Cause: changes.go held the search, the queries of further nodes and the calls to the store; accept and accepted were told apart by two letters.

--- a/internal/process/feed/changes.go
+++ b/internal/process/feed/changes.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -32,17 +30,6 @@
 	storeRetryInterval = 3 * time.Second
 	// slowReadTimeout bounds the last read of the store, which may be slow.
 	slowReadTimeout = 2 * time.Second
-	// maxFallbacks is the number of further nodes that are queried in one round.
-	maxFallbacks = 4
-	// fallbackTimeout bounds the query to one of them, which doesn't wait for changes.
-	fallbackTimeout = 200 * time.Millisecond
-	// fallbackStagger is the time without a reply after which the next one is queried.
-	fallbackStagger = 60 * time.Millisecond
-	// fallbackInterval is the time between the first two rounds. It doubles with each round.
-	fallbackInterval = 400 * time.Millisecond
-	// fallbackDuration is how long a node that had a recent copy serves as second source
-	// after its last useful reply.
-	fallbackDuration = 10 * time.Second
 	// recentSlack is how much older than the wait the copy of a node may be to count as
 	// recent.
 	recentSlack = 200 * time.Millisecond
@@ -137,7 +124,7 @@
 	wait := s.storeWait()
 	limited, cancel := context.WithTimeout(ctx, wait+firstSourceSlack)
 	defer cancel()
-	return s.accepted(ctx, s.feed.readChanges(limited, s.table, s.after, wait))
+	return s.acceptResponse(ctx, s.feed.readChanges(limited, s.table, s.after, wait))
 }
 
 // storeWait returns how long a call to the store may wait for changes.
@@ -145,14 +132,6 @@
 	return max(s.wait-s.age(), 0)
 }
 
-// queryFallbacksFirst queries other nodes if the store has failed a short time ago.
-func (s *search) queryFallbacksFirst(ctx context.Context) (*result, error) {
-	if s.feed.storeUsable() {
-		return nil, errors.Wrap(lagoonbarrow.ErrUnavailable, "feed: the store is queried first")
-	}
-	return s.queryFallbacks(ctx)
-}
-
 // readStoreAndFallbacks reads the store, which may be slow, and queries other nodes while it
 // gives no response.
 func (s *search) readStoreAndFallbacks(ctx context.Context) (*result, error) {
@@ -171,7 +150,7 @@
 	for {
 		select {
 		case response := <-read:
-			found, err := s.accepted(ctx, response)
+			found, err := s.acceptResponse(ctx, response)
 			if err != nil && !errors.Is(err, lagoonbarrow.ErrHistoryLost) {
 				return s.queryFallbacksAfter(ctx, err)
 			}
@@ -192,21 +171,8 @@
 	}
 }
 
-// queryFallbacksAfter queries other nodes, unless some were queried before the store. It
-// returns the store's error if they have nothing recent.
-func (s *search) queryFallbacksAfter(ctx context.Context, storeErr error) (*result, error) {
-	if s.fallbacksQueried {
-		return nil, storeErr
-	}
-	found, err := s.queryFallbacks(ctx)
-	if err != nil {
-		return nil, storeErr
-	}
-	return found, nil
-}
-
-// accepted applies the changes in a response of the store to this node's copy.
-func (s *search) accepted(ctx context.Context, response storeResponse) (*result, error) {
+// acceptResponse applies the changes in a response of the store to this node's copy.
+func (s *search) acceptResponse(ctx context.Context, response storeResponse) (*result, error) {
 	s.feed.recordResponse(ctx, response.err)
 	if response.err != nil {
 		return nil, response.err
@@ -239,76 +205,7 @@
 	}
 	s.feed.stopAvoiding(node.ID)
 	s.feed.extendFallback(node.ID)
-	return s.accept(reply, node.ID), nil
-}
-
-// fallbackReply is the reply of a node that is not a source.
-type fallbackReply struct {
-	node  lagoonbarrow.InstanceID
-	reply *changesReply
-	err   error
-}
-
-// queryFallbacks queries a few other nodes. It answers the load of a store that serves some
-// nodes only: any node that it serves, and each that has queried one, has a recent copy. It
-// doesn't wait for the reply of a silent node before it queries the next one.
-func (s *search) queryFallbacks(ctx context.Context) (*result, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	s.fallbacksQueried = true
-	nodes := s.fallbacks()
-	replies := make(chan fallbackReply, len(nodes))
-	next := time.NewTicker(fallbackStagger)
-	defer next.Stop()
-	err := errors.Wrap(lagoonbarrow.ErrUnavailable, "feed: no other node is known")
-	for begun, ended := 0, 0; ended < len(nodes); {
-		if begun == ended {
-			s.queryFallback(ctx, nodes[begun], replies)
-			begun++
-		}
-		select {
-		case reply := <-replies:
-			ended++
-			if reply.err == nil {
-				s.feed.setFallback(reply.node)
-				return s.accept(reply.reply, reply.node), nil
-			}
-			err = reply.err
-			if errors.Is(err, lagoonbarrow.ErrNotSent) && ctx.Err() == nil {
-				s.feed.avoid(reply.node, s.table, err)
-			}
-		case <-next.C:
-			if begun < len(nodes) {
-				s.queryFallback(ctx, nodes[begun], replies)
-				begun++
-			}
-		}
-	}
-	return nil, errors.Wrap(lagoonbarrow.ErrUnavailable, err.Error())
-}
-
-// queryFallback begins a query that doesn't wait for changes.
-func (s *search) queryFallback(ctx context.Context, node lagoonbarrow.Instance, replies chan<- fallbackReply) {
-	s.queried[node.ID] = true
-	go s.feed.panics.Run(ctx, "query of a node", func(ctx context.Context) {
-		reply, err := s.query(ctx, node, 0, fallbackTimeout)
-		if err == nil {
-			err = s.check(reply)
-		}
-		replies <- fallbackReply{
-			node:  node.ID,
-			reply: reply,
-			err:   err,
-		}
-	})
-}
-
-// fallbacks returns random nodes that were not queried yet, the avoided ones last.
-func (s *search) fallbacks() []lagoonbarrow.Instance {
-	members := slices.DeleteFunc(s.feed.config.Members(), func(m lagoonbarrow.Instance) bool { return s.queried[m.ID] })
-	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
-	members = s.feed.avoidedLast(members)
-	return members[:min(maxFallbacks, len(members))]
+	return s.acceptReply(reply, node.ID), nil
 }
 
 // age returns the time since the node's copy was last confirmed as the store's newest.
@@ -327,8 +224,8 @@
 	return nil
 }
 
-// accept applies the reply of a node to this node's copy.
-func (s *search) accept(reply *changesReply, source lagoonbarrow.InstanceID) *result {
+// acceptReply applies the reply of a node to this node's copy.
+func (s *search) acceptReply(reply *changesReply, source lagoonbarrow.InstanceID) *result {
 	changes := reply.tableChanges(s.table)
 	s.feed.apply(s.table, changes, reply.Version, reply.Age, source)
 	return &result{
--- a/internal/process/feed/store.go
+++ b/internal/process/feed/store.go
@@ -18,7 +18,7 @@
 	rows    []lagoonbarrow.Row
 	changes []lagoonbarrow.Change
 	version lagoonbarrow.RowVersion
-	// age is the longest time for which version may not be the newest one any more.
+	// age is how long ago version may have stopped being the newest of the store.
 	age time.Duration
 	err error
 }
