Check in the soak that all nodes serve by the last configuration

Cause: the soak changes the configuration and drops the store's history, but a node that stayed with an old version passed: any answer counted as recovery.

Change: after the faults, each node has to serve a request at the service that the last version routes it to.

--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -224,16 +224,21 @@
 	}
 }
 
-// changeConfiguration stores the next version of the configuration. Odd versions route
-// reads to alpha and writes to beta, even versions the reverse.
+// routedServices returns the services of a version's routes. Odd versions route reads to
+// alpha and writes to beta, even versions the reverse.
+func routedServices(version int) (read, write string) {
+	if version%2 == 0 {
+		return "beta", "alpha"
+	}
+	return "alpha", "beta"
+}
+
+// changeConfiguration stores the next version of the configuration.
 func (f *fleet) changeConfiguration() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.version++
-	read, write := "alpha", "beta"
-	if f.version%2 == 0 {
-		read, write = write, read
-	}
+	read, write := routedServices(f.version)
 	configuration := fmt.Sprintf(`{"version":%d,"services":[{"name":"alpha"},{"name":"beta"}],"hosts":[{"host":"one.example","paths":[`+
 		`{"name":"read","prefix":"/read/","kind":"idempotent","timeout":"2s","target-latency":"1s","priority":2,"service":%q,"max-attempts":2},`+
 		`{"name":"file","prefix":"/file/","kind":"non_idempotent","timeout":"2s","target-latency":"1s","priority":0,"service":%q,"max-attempts":2}]}]}`, f.version, read, write)
@@ -260,3 +265,21 @@
 	}
 	return total
 }
+
+// ranAt reports whether a backend server of a service ran a request.
+func (f *fleet) ranAt(service, id string) bool {
+	for _, n := range f.nodes {
+		if n.service == service && n.server.Runs(id) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// readService returns the service that the last version routes reads to.
+func (f *fleet) readService() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	read, _ := routedServices(f.version)
+	return read
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -55,7 +55,8 @@
 
 // Checks the documented guarantees under faults: writes run at most once, refused
 // writes have not run, each answer is complete and belongs to its request, leaving
-// servers receive no new requests, and the fleet serves again after the faults.
+// servers receive no new requests, and the fleet serves again after the faults, by the
+// last configuration.
 // LAGOONBARROW_SEEDS and LAGOONBARROW_SEED choose the seeds, LAGOONBARROW_NODES the
 // number of nodes.
 func TestSoak(t *testing.T) {
@@ -296,7 +297,8 @@
 	}
 }
 
-// checkRecovery checks that every node serves again after the faults have ended.
+// checkRecovery checks that every node serves again after the faults have ended, by the
+// last version of the configuration.
 func (f *fleet) checkRecovery() {
 	for _, n := range f.nodes {
 		f.await("node is ready again", n.process.Ready)
@@ -305,7 +307,9 @@
 			transport := &http.Transport{}
 			defer transport.CloseIdleConnections()
 			attempt++
-			return f.checkRequest(transport, n, "/read/x", fmt.Sprintf("after-%d-%d", n.index, attempt)) == http.StatusOK
+			id := fmt.Sprintf("after-%d-%d", n.index, attempt)
+			status := f.checkRequest(transport, n, "/read/x", id)
+			return status == http.StatusOK && f.ranAt(f.readService(), id)
 		})
 	}
 }
