Follow with the real follower in the feed's tests

Cause: the loop of the follower stood a second time in the fleet of the tests, with its own treatment of errors. The tests pass as before with the race detector; a counter that nothing reads is gone.

--- a/internal/process/feed/fleet_test.go
+++ b/internal/process/feed/fleet_test.go
@@ -9,10 +9,9 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/pkg/errors"
 
 	"lagoonbarrow"
-	"lagoonbarrow/internal/process/backoff"
+	"lagoonbarrow/internal/process/follower"
 )
 
 const tableName = "table"
@@ -153,18 +152,10 @@
 	zones int
 
 	mu sync.Mutex
-	// requests counts the requests between nodes, and crossZoneRequests those from one
-	// zone to another.
-	requests          int
+	// crossZoneRequests counts the requests from one zone to another.
 	crossZoneRequests int
 }
 
-func (f *fleet) requestCount() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.requests
-}
-
 func (f *fleet) crossZoneCount() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -255,7 +246,6 @@
 			continue
 		}
 		f.mu.Lock()
-		f.requests++
 		if f.zone(i) != s.zone {
 			f.crossZoneRequests++
 		}
@@ -298,51 +288,21 @@
 // ends.
 func (f *fleet) follow(t *testing.T, excluded map[int]bool) {
 	t.Helper()
-	f.followStaggered(t, excluded, 100*time.Millisecond, 0)
-}
-
-// followStaggered is follow with queries that wait for the given time. Each node starts
-// by stagger later than the one before.
-func (f *fleet) followStaggered(t *testing.T, excluded map[int]bool, wait, stagger time.Duration) {
-	t.Helper()
-	ctx, cancel := context.WithCancel(context.Background())
-	var wg sync.WaitGroup
 	for i, n := range f.nodes {
 		if excluded[i] {
 			continue
 		}
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			time.Sleep(time.Duration(i) * stagger)
-			version := lagoonbarrow.RowVersion(0)
-			hasRows := false
-			retryDelay := backoff.ForStore()
-			for ctx.Err() == nil {
-				var next lagoonbarrow.RowVersion
-				var err error
-				if hasRows {
-					_, next, err = n.feed.Changes(ctx, tableName, version, wait)
-				} else {
-					_, next, err = n.feed.Rows(ctx, tableName)
-				}
-				switch {
-				case errors.Is(err, lagoonbarrow.ErrHistoryLost):
-					hasRows = false
-				case err != nil:
-					retryDelay.Wait(ctx)
-				default:
-					retryDelay.Reset()
-					hasRows = true
-					version = max(version, next)
-				}
-			}
-		}()
+		reads := follower.New(follower.Config{
+			Feed:        n.feed,
+			Table:       tableName,
+			PollTimeout: 100 * time.Millisecond,
+			Replace:     func([]lagoonbarrow.Row) {},
+			Apply:       func([]lagoonbarrow.Change) {},
+			Logger:      hclog.NewNullLogger(),
+		})
+		reads.Start()
+		t.Cleanup(reads.Stop)
 	}
-	t.Cleanup(func() {
-		cancel()
-		wg.Wait()
-	})
 }
 
 // awaitVersion waits until all nodes but the excluded ones have the version.
