Name the waits of the feed's simulation plainly

A later, shorter fault of the store no longer shortens the time in which the property test counts the store as unstable; the faults of the nodes themselves bounded that before.

--- a/internal/process/feed/property_test.go
+++ b/internal/process/feed/property_test.go
@@ -95,7 +95,9 @@
 		s.silenceLinks(end)
 	case 2:
 		fault := []nodeFault{faultStoreCut, faultStoreRefuses, faultStoreSlow}[s.intN(3)]
-		s.unstableUntil = end
+		if end.After(s.unstableUntil) {
+			s.unstableUntil = end
+		}
 		for i := range s.nodes {
 			s.beginNodeFault(i, fault, end)
 		}
--- a/internal/process/feed/simulation_test.go
+++ b/internal/process/feed/simulation_test.go
@@ -83,7 +83,8 @@
 	faults map[nodeFault]bool
 	// changed is closed and replaced when faults change.
 	changed chan struct{}
-	// breaks counts the faults of the connection to the store.
+	// breaks counts the faults that have begun or ended. Each may lose the responses of the
+	// store that are on their way.
 	breaks int
 	// healthySince is when the last fault ended, the node started or the path to the store
 	// returned.
@@ -290,8 +291,8 @@
 	return cache.changesAfter(tableName, 0).version
 }
 
-// awaitThaw waits until the node is not frozen, or until ctx ends.
-func (n *simulatedNode) awaitThaw(ctx context.Context) {
+// waitWhileFrozen waits until the node is not frozen, or until ctx ends.
+func (n *simulatedNode) waitWhileFrozen(ctx context.Context) {
 	for {
 		n.mu.Lock()
 		frozen, changed := n.faults[faultFrozen], n.changed
@@ -321,8 +322,8 @@
 
 // Send implements lagoonbarrow.MessageSender.
 func (s simulatedSender) Send(ctx context.Context, to lagoonbarrow.Address, message lagoonbarrow.Message) (lagoonbarrow.Message, error) {
-	s.node.awaitThaw(context.Background())
-	defer s.node.awaitThaw(context.Background())
+	s.node.waitWhileFrozen(context.Background())
+	defer s.node.waitWhileFrozen(context.Background())
 	for _, target := range s.node.simulation.nodes {
 		if to == lagoonbarrow.Address(memberID(target.index)) {
 			return s.deliver(ctx, target, message)
@@ -343,13 +344,13 @@
 		<-ctx.Done()
 		return lagoonbarrow.Message{}, lagoonbarrow.ErrAnswerLost
 	}
-	target.awaitThaw(ctx)
+	target.waitWhileFrozen(ctx)
 	handler := target.currentHandler()
 	if handler == nil {
 		return lagoonbarrow.Message{}, lagoonbarrow.ErrNotSent
 	}
 	reply, err := handler.HandleMessage(ctx, memberID(s.node.index), message)
-	target.awaitThaw(ctx)
+	target.waitWhileFrozen(ctx)
 	time.Sleep(simulatedLatency)
 	if ctx.Err() != nil || target.currentHandler() != handler {
 		return lagoonbarrow.Message{}, lagoonbarrow.ErrAnswerLost
@@ -402,7 +403,7 @@
 func (s simulatedStore) begin(ctx context.Context, wait time.Duration) (end func() error, err error) {
 	s.node.simulation.storeCalls.Add(1)
 	started := time.Now()
-	s.node.awaitThaw(context.Background())
+	s.node.waitWhileFrozen(context.Background())
 	breaks := s.node.breakCount()
 	s.delay(ctx)
 	if s.node.has(faultStoreRefuses) {
@@ -418,7 +419,7 @@
 			return s.hang(ctx, started, wait)
 		}
 		// A response that arrived while the node was frozen is read as it is.
-		s.node.awaitThaw(context.Background())
+		s.node.waitWhileFrozen(context.Background())
 		return nil
 	}, nil
 }
@@ -435,7 +436,7 @@
 // hang waits until the time limit of a call without a response.
 func (s simulatedStore) hang(ctx context.Context, started time.Time, wait time.Duration) error {
 	pause(ctx, time.Until(started.Add(wait+silentCallTime)))
-	s.node.awaitThaw(context.Background())
+	s.node.waitWhileFrozen(context.Background())
 	return lagoonbarrow.ErrUnavailable
 }
 
