--- a/internal/process/feed/bound_test.go
+++ b/internal/process/feed/bound_test.go
@@ -20,8 +20,8 @@
 	// silentCallTime is how long a call to a silent store takes beyond its wait, unless
 	// the caller limits it.
 	silentCallTime = 2500 * time.Millisecond
-	// recoveryBound is the time after the end of an outage in which all nodes have to be
-	// up to date.
+	// recoveryBound is the time after the end of an outage, or of a node's fault, in which
+	// nodes have to be up to date.
 	recoveryBound = 3 * time.Second
 )
 
