Run the fleets of the feed's tests in simulated time

The bound is on calls, not on the machine.

Change: the five tests that let nodes follow run in simulated time, with the same loads and bounds.

--- a/internal/process/feed/feed_test.go
+++ b/internal/process/feed/feed_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -16,43 +17,47 @@
 
 // Guards against calls to the store that grow with the number of nodes.
 func TestOnlyReadersQueryTheStore(t *testing.T) {
-	f := newFleet(30)
-	f.follow(t, nil)
-	f.store.put("a", false)
-	f.awaitVersion(t, 1, nil)
-	before := f.store.callCount()
-	for range 5 {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(30)
+		f.follow(t, nil)
 		f.store.put("a", false)
-		time.Sleep(20 * time.Millisecond)
-	}
-	f.awaitVersion(t, 6, nil)
-	// Each reader may query the store once for each change and once more.
-	if calls := f.store.callCount() - before; calls > 2*maxSources*6 {
-		t.Fatalf("%d calls for 5 changes", calls)
-	}
+		f.awaitVersion(t, 1, nil)
+		before := f.store.callCount()
+		for range 5 {
+			f.store.put("a", false)
+			time.Sleep(20 * time.Millisecond)
+		}
+		f.awaitVersion(t, 6, nil)
+		// Each reader may query the store once for each change and once more.
+		if calls := f.store.callCount() - before; calls > 2*maxSources*6 {
+			t.Fatalf("%d calls for 5 changes", calls)
+		}
+	})
 }
 
 // Guards against traffic between zones that grows with the number of nodes. With a
 // reader in each zone, requests stay within the zone.
 func TestRequestsStayInTheZone(t *testing.T) {
-	const changes = 5
-	f := newZonedFleet(4*minReaderZoneSize, 4)
-	f.follow(t, nil)
-	f.store.put("a", false)
-	f.awaitVersion(t, 1, nil)
-	// Nodes that were queried before their first read are queried again after this time.
-	time.Sleep(startAvoidDuration)
-	before := f.crossZoneCount()
-	for range changes {
+	synctest.Test(t, func(t *testing.T) {
+		const changes = 5
+		f := newZonedFleet(4*minReaderZoneSize, 4)
+		f.follow(t, nil)
 		f.store.put("a", false)
-		time.Sleep(20 * time.Millisecond)
-	}
-	f.awaitVersion(t, 1+changes, nil)
-	// Each node sends at least one request. If zones were ignored, three in four would
-	// cross.
-	if crossing := f.crossZoneCount() - before; crossing > len(f.nodes)/4 {
-		t.Fatalf("%d requests of %d nodes left their zone", crossing, len(f.nodes))
-	}
+		f.awaitVersion(t, 1, nil)
+		// Nodes that were queried before their first read are queried again after this time.
+		time.Sleep(startAvoidDuration)
+		before := f.crossZoneCount()
+		for range changes {
+			f.store.put("a", false)
+			time.Sleep(20 * time.Millisecond)
+		}
+		f.awaitVersion(t, 1+changes, nil)
+		// Each node sends at least one request. If zones were ignored, three in four would
+		// cross.
+		if crossing := f.crossZoneCount() - before; crossing > len(f.nodes)/4 {
+			t.Fatalf("%d requests of %d nodes left their zone", crossing, len(f.nodes))
+		}
+	})
 }
 
 // Guards against nodes that avoid their reader for long because it starts at the same
@@ -92,30 +97,32 @@
 
 // Guards against a burst of calls to the store after a zone has lost its reader.
 func TestLostReaderOfAZoneIsReplaced(t *testing.T) {
-	const (
-		zones   = 4
-		changes = 5
-	)
-	f := newZonedFleet(zones*minReaderZoneSize, zones)
-	lost := map[int]bool{
-		f.firstReader(): true,
-	}
-	f.follow(t, lost)
-	f.store.put("a", false)
-	f.awaitVersion(t, 1, lost)
-	f.nodes[f.firstReader()].setFaults(false, true)
-	time.Sleep(startAvoidDuration)
-	before := f.store.callCount()
-	for range changes {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			zones   = 4
+			changes = 5
+		)
+		f := newZonedFleet(zones*minReaderZoneSize, zones)
+		lost := map[int]bool{
+			f.firstReader(): true,
+		}
+		f.follow(t, lost)
 		f.store.put("a", false)
-		time.Sleep(20 * time.Millisecond)
-	}
-	f.awaitVersion(t, 1+changes, lost)
-	// Each reader queries the store once for each change and once more. Without a second
-	// source, all nodes of the zone would query it.
-	if calls := f.store.callCount() - before; calls > 2*zones*(changes+1) {
-		t.Fatalf("%d calls to the store for %d changes", calls, changes)
-	}
+		f.awaitVersion(t, 1, lost)
+		f.nodes[f.firstReader()].setFaults(false, true)
+		time.Sleep(startAvoidDuration)
+		before := f.store.callCount()
+		for range changes {
+			f.store.put("a", false)
+			time.Sleep(20 * time.Millisecond)
+		}
+		f.awaitVersion(t, 1+changes, lost)
+		// Each reader queries the store once for each change and once more. Without a second
+		// source, all nodes of the zone would query it.
+		if calls := f.store.callCount() - before; calls > 2*zones*(changes+1) {
+			t.Fatalf("%d calls to the store for %d changes", calls, changes)
+		}
+	})
 }
 
 // Guards against nodes that query the lost reader of their zone again every few seconds
@@ -172,14 +179,16 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			f := newFleet(6)
-			lost := map[int]bool{
-				f.firstReader(): true,
-			}
-			f.follow(t, lost)
-			test.fault(f.nodes[f.firstReader()])
-			f.store.put("a", false)
-			f.awaitVersion(t, 1, lost)
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(6)
+				lost := map[int]bool{
+					f.firstReader(): true,
+				}
+				f.follow(t, lost)
+				test.fault(f.nodes[f.firstReader()])
+				f.store.put("a", false)
+				f.awaitVersion(t, 1, lost)
+			})
 		})
 	}
 }
@@ -260,15 +269,17 @@
 
 // Guards against nodes that don't resume reading after an outage of the store.
 func TestChangesArriveAfterAnOutage(t *testing.T) {
-	f := newFleet(6)
-	f.follow(t, nil)
-	f.store.put("a", false)
-	f.awaitVersion(t, 1, nil)
-	f.store.setDown(true)
-	time.Sleep(200 * time.Millisecond)
-	f.store.put("b", false)
-	f.store.setDown(false)
-	f.awaitVersion(t, 2, nil)
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(6)
+		f.follow(t, nil)
+		f.store.put("a", false)
+		f.awaitVersion(t, 1, nil)
+		f.store.setDown(true)
+		time.Sleep(200 * time.Millisecond)
+		f.store.put("b", false)
+		f.store.setDown(false)
+		f.awaitVersion(t, 2, nil)
+	})
 }
 
 // Guards against a store error that is not returned to the caller.
