Keep a refused second call from failing a read of the store

Found by reading the change once more. What callers would see: a node that stays without configuration while the store is slow and refuses part of the calls.

Cause: of the two calls of a read, the first one that ended decided, also when it was the second one that was refused, so that the answer to the first was thrown away. The second call began at 1 s, just when the first one reaches its usual limit, and was often lost with it. The simulation gave every call 2.5 s and hid that.

Change: the first response decides, or the end of the first call. The second call begins at 0.8 s. The simulation gives a call 1 s, and 2.5 s after one that timed out, as the client does. The error of other nodes that were queried after the store is no longer dropped.

--- a/internal/process/feed/bound_test.go
+++ b/internal/process/feed/bound_test.go
@@ -17,8 +17,9 @@
 	boundWait = 800 * time.Millisecond
 	// boundStagger is the time between the starts of two nodes.
 	boundStagger = 130 * time.Millisecond
-	// silentCallTime is how long a call to a silent store takes beyond its wait, unless
-	// the caller limits it.
+	// callTime is how long a call to a silent store takes beyond its wait, unless the
+	// caller limits it, and silentCallTime the same for a call after one that timed out.
+	callTime       = time.Second
 	silentCallTime = 2500 * time.Millisecond
 	// recoveryBound is the time after the end of an outage, or of a node's fault, in which
 	// nodes have to be up to date.
--- a/internal/process/feed/fallback.go
+++ b/internal/process/feed/fallback.go
@@ -33,17 +33,14 @@
 	return s.queryFallbacks(ctx)
 }
 
-// queryFallbacksAfter queries other nodes, unless some were queried before the store. It
-// returns the store's error if they have nothing recent.
+// queryFallbacksAfter queries other nodes, unless some were queried before the store. If
+// they have nothing recent, it returns the store's error with theirs.
 func (s *search) queryFallbacksAfter(ctx context.Context, storeErr error) (*result, error) {
 	if s.fallbacksQueried {
 		return nil, storeErr
 	}
 	found, err := s.queryFallbacks(ctx)
-	if err != nil {
-		return nil, storeErr
-	}
-	return found, nil
+	return found, errors.Wrap(err, storeErr.Error())
 }
 
 // fallbackReply is the reply of a node that is not a source.
--- a/internal/process/feed/simulation_test.go
+++ b/internal/process/feed/simulation_test.go
@@ -86,6 +86,9 @@
 	// breaks counts the faults that have begun or ended. Each may lose the responses of the
 	// store that are on their way.
 	breaks int
+	// timedOut is set if the last call to the store has reached its time limit. The next one
+	// has more time.
+	timedOut bool
 	// healthySince is when the last fault ended, the node started or the path to the store
 	// returned.
 	healthySince time.Time
@@ -291,6 +294,16 @@
 	return cache.changesAfter(tableName, 0).version
 }
 
+// setTimedOut records whether a call to the store reaches its time limit, and returns
+// whether the one before did.
+func (n *simulatedNode) setTimedOut(timedOut bool) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	previous := n.timedOut
+	n.timedOut = timedOut
+	return previous
+}
+
 // waitWhileFrozen waits until the node is not frozen, or until ctx ends.
 func (n *simulatedNode) waitWhileFrozen(ctx context.Context) {
 	for {
@@ -418,6 +431,7 @@
 		if cut || s.node.breakCount() != breaks && s.node.simulation.losesResponse() {
 			return s.hang(ctx, started, wait)
 		}
+		s.node.setTimedOut(false)
 		// A response that arrived while the node was frozen is read as it is.
 		s.node.waitWhileFrozen(context.Background())
 		return nil
@@ -435,7 +449,11 @@
 
 // hang waits until the time limit of a call without a response.
 func (s simulatedStore) hang(ctx context.Context, started time.Time, wait time.Duration) error {
-	pause(ctx, time.Until(started.Add(wait+silentCallTime)))
+	limit := callTime
+	if s.node.setTimedOut(true) {
+		limit = silentCallTime
+	}
+	pause(ctx, time.Until(started.Add(wait+limit)))
 	s.node.waitWhileFrozen(context.Background())
 	return lagoonbarrow.ErrUnavailable
 }
--- a/internal/process/feed/store.go
+++ b/internal/process/feed/store.go
@@ -10,8 +10,9 @@
 )
 
 // secondCallDelay is the time without a response after which a second call to the store
-// begins. A slow store usually responds earlier.
-const secondCallDelay = time.Second
+// begins. A slow store usually responds earlier, and the first call has not reached its
+// time limit yet.
+const secondCallDelay = 800 * time.Millisecond
 
 // storeResponse is the response of the store to one call.
 type storeResponse struct {
@@ -27,28 +28,40 @@
 type storeCall func(ctx context.Context, wait time.Duration) storeResponse
 
 // callTwice makes a call to the store, and a second one if there is no response for a time
-// after the wait. The first call that ends decides. It answers the load of a store that
-// works again: a response that was lost in the outage would otherwise hold up the read
-// until its time limit.
+// after the wait. The first response decides, or the end of the first call. It answers the
+// load of a store that works again: a response that was lost in the outage would otherwise
+// hold up the read until its time limit.
 func (f *Feed) callTwice(ctx context.Context, wait time.Duration, call storeCall) storeResponse {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	responses := make(chan storeResponse, 2)
-	begin := func(wait time.Duration) {
-		go f.panics.Run(ctx, "read of the store", func(ctx context.Context) {
-			responses <- call(ctx, wait)
-		})
-	}
-	begin(wait)
+	first := f.beginCall(ctx, wait, call)
 	timer := time.NewTimer(wait + secondCallDelay)
 	defer timer.Stop()
 	select {
-	case response := <-responses:
+	case response := <-first:
 		return response
 	case <-timer.C:
 	}
-	begin(0)
-	return <-responses
+	second := f.beginCall(ctx, 0, call)
+	select {
+	case response := <-first:
+		return response
+	case response := <-second:
+		if errors.Is(response.err, lagoonbarrow.ErrUnavailable) {
+			// A slow store that refuses the second call may still answer the first one.
+			return <-first
+		}
+		return response
+	}
+}
+
+// beginCall makes a call without waiting for its response.
+func (f *Feed) beginCall(ctx context.Context, wait time.Duration, call storeCall) <-chan storeResponse {
+	responses := make(chan storeResponse, 1)
+	go f.panics.Run(ctx, "read of the store", func(ctx context.Context) {
+		responses <- call(ctx, wait)
+	})
+	return responses
 }
 
 // readRows reads all rows of a table from the store.
