Read and log what servers announce in their answers

Change: answers of the backend server are read for the limit and for its leaving (backend.announcement), kept by internal/process/announcement for one lifetime of a server, and logged as event 408; call-not-served has the limit in force. No decision uses it yet. Values that are no decimal number are logged and change nothing; answers of another server (421), unsigned and truncated ones are not read.

--- a/call.go
+++ b/call.go
@@ -160,6 +160,8 @@
 	SentToServer bool `msgpack:"offered,omitempty"`
 	// Configuration is the highest configuration version that the callee has.
 	Configuration ConfigurationVersion `msgpack:"configuration,omitempty"`
+	// Announcement is what the backend server says about itself; nil if it says nothing.
+	Announcement *Announcement `msgpack:"-"`
 }
 
 // failedStatus is the lowest HTTP status that reports a failed run.
--- a/configuration.go
+++ b/configuration.go
@@ -119,6 +119,10 @@
 	NotRun string
 	// Signature is set by servers on all their answers.
 	Signature string
+	// Limit holds the requests a second that a server accepts from all nodes together.
+	Limit string
+	// Leaving marks the answers of a server that leaves.
+	Leaving string
 }
 
 // Change is a row of a table that was written or deleted.
--- a/internal/request/backend/relay.go
+++ b/internal/request/backend/relay.go
@@ -89,6 +89,9 @@
 		Status:  response.StatusCode(),
 	}
 	header := &response.Header
+	if answer.Status != fasthttp.StatusMisdirectedRequest {
+		answer.Announcement = announcement(header, headers)
+	}
 	switch {
 	case len(header.Peek(headers.NotRun)) > 0:
 		answer.Outcome = lagoonbarrow.OutcomeNotRun
@@ -100,6 +103,7 @@
 	case impliesNotRun(answer.Status), !isAuthentic(answer.Status, header, headers.Signature):
 		answer.Outcome = lagoonbarrow.OutcomeUnknown
 		answer.Reason = lagoonbarrow.ReasonBackend
+		answer.Announcement = nil
 	default:
 		// The node that accepted the request from the client already has its id.
 		header.Del(headers.RequestID)
--- a/internal/request/execute/handler.go
+++ b/internal/request/execute/handler.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/process/announcement"
 	"lagoonbarrow/internal/process/circuit"
 	"lagoonbarrow/internal/process/registration"
 	"lagoonbarrow/internal/process/retry"
@@ -42,6 +43,8 @@
 	Gate           *slots.Gate
 	// Budget bounds the repeated calls that are sent to the server.
 	Budget *retry.Budget
+	// OnLeaving is called when a server announces in an answer that it leaves.
+	OnLeaving func(id lagoonbarrow.ServerID, started time.Time)
 	// Circuit refuses writes that would run in vain; a new one by default.
 	Circuit  *circuit.Breaker
 	Relay    Relay
@@ -53,6 +56,8 @@
 	config  Config
 	running *activeCalls
 	breaker breaker
+	// announcements holds what the server says about itself in its answers.
+	announcements *announcement.Tracker
 	// stopDeadline bounds the deadlines of calls while the node stops.
 	stopDeadline shutdown.Deadline
 	closed       atomic.Bool
@@ -65,9 +70,17 @@
 	if config.Circuit == nil {
 		config.Circuit = circuit.New(circuit.Config{})
 	}
+	if config.OnLeaving == nil {
+		config.OnLeaving = func(lagoonbarrow.ServerID, time.Time) {}
+	}
 	return &Handler{
 		config:  config,
 		running: newActiveCalls(),
+		announcements: announcement.New(announcement.Config{
+			OnLimit:   func(bool, lagoonbarrow.RequestsPerSecond) {},
+			OnLeaving: func(lagoonbarrow.ServerID, time.Time) {},
+			Recorder:  config.Recorder,
+		}),
 	}
 }
 
@@ -85,7 +98,7 @@
 	if answer.Outcome != lagoonbarrow.OutcomeDone {
 		h.config.Recorder.Record(event.CallNotServed, event.Fields{
 			Request: string(call.Request),
-			Detail:  notServedDetail(call, answer),
+			Detail:  notServedDetail(call, answer, h.announcements.Current()),
 		})
 	}
 	return answer
@@ -93,7 +106,7 @@
 
 func (h *Handler) handle(ctx context.Context, call *lagoonbarrow.Call) *lagoonbarrow.Answer {
 	deadline := h.stopDeadline.Bound(time.Now().Add(call.Remaining))
-	if refusal := h.checkServer(call); refusal != nil {
+	if _, refusal := h.checkServer(call); refusal != nil {
 		return refusal
 	}
 	release, err := h.config.Gate.Acquire(ctx, slots.Demand{
@@ -106,7 +119,8 @@
 	}
 	defer release()
 	// The server may have started to leave while the call waited.
-	if refusal := h.checkServer(call); refusal != nil {
+	server, refusal := h.checkServer(call)
+	if refusal != nil {
 		return refusal
 	}
 	if !h.breaker.allow(call.Server, time.Now()) {
@@ -121,6 +135,7 @@
 	run := h.running.add(call, deadline)
 	defer h.running.remove(call.Request)
 	answer := h.config.Relay.Relay(ctx, call, deadline)
+	h.observeAnnouncement(server, answer)
 	h.updateServerState(call, answer)
 	answer.Threshold = run.Threshold()
 	h.updateCircuit(call, run, answer)
@@ -215,18 +230,29 @@
 // statusMisdirected is the status (421) of a server that is not the expected one.
 const statusMisdirected = 421
 
-// checkServer returns a refusal unless the server may run the call now. Otherwise it
-// sets the call's server.
-func (h *Handler) checkServer(call *lagoonbarrow.Call) *lagoonbarrow.Answer {
+// checkServer returns the server, or a refusal unless it may run the call now. It sets the
+// call's server.
+func (h *Handler) checkServer(call *lagoonbarrow.Call) (registration.Server, *lagoonbarrow.Answer) {
 	server, ready := h.config.CurrentServer()
 	if !ready || h.closed.Load() {
-		return lagoonbarrow.NewRefusal(call.ID, lagoonbarrow.ReasonLeaving)
+		return server, lagoonbarrow.NewRefusal(call.ID, lagoonbarrow.ReasonLeaving)
 	}
 	if server.Service != call.Service {
-		return lagoonbarrow.NewRefusal(call.ID, lagoonbarrow.ReasonNotReady)
+		return server, lagoonbarrow.NewRefusal(call.ID, lagoonbarrow.ReasonNotReady)
 	}
 	call.Server = server.ID
-	return nil
+	h.announcements.SetServer(server.ID, server.Started)
+	return server, nil
+}
+
+// observeAnnouncement processes what an answer says about the server.
+func (h *Handler) observeAnnouncement(server registration.Server, answer *lagoonbarrow.Answer) {
+	if answer.Announcement == nil {
+		return
+	}
+	answer.Announcement.Server = server.ID
+	answer.Announcement.Started = server.Started
+	h.announcements.Observe(*answer.Announcement)
 }
 
 // shedRefusal returns the refusal for a call that got no slot.
--- a/internal/request/execute/running.go
+++ b/internal/request/execute/running.go
@@ -111,8 +111,12 @@
 }
 
 // notServedDetail returns the detail of an event about a call that was not served.
-func notServedDetail(call *lagoonbarrow.Call, answer *lagoonbarrow.Answer) string {
-	return fmt.Sprintf("service=%s outcome=%s reason=%s status=%d offered=%t server=%s running=%d queued=%d limit=%d remaining=%s",
+func notServedDetail(call *lagoonbarrow.Call, answer *lagoonbarrow.Answer, server lagoonbarrow.Announcement) string {
+	detail := fmt.Sprintf("service=%s outcome=%s reason=%s status=%d offered=%t server=%s running=%d queued=%d limit=%d remaining=%s",
 		call.Service, answer.Outcome, answer.Reason, answer.Status, answer.SentToServer, call.Server,
 		answer.Load.Running, answer.Load.Queued, answer.Load.Limit, call.Remaining)
+	if server.Limited {
+		detail += fmt.Sprintf(" server-limit=%g", server.Limit)
+	}
+	return detail
 }
--- a/pkg/event/catalogue_admission.go
+++ b/pkg/event/catalogue_admission.go
@@ -50,6 +50,12 @@
 		Name:    "circuit-closed",
 		Meaning: "writes of a class are no longer refused",
 	}
+	// ServerLimitChanged: the backend server named another limit of requests a second, or none.
+	ServerLimitChanged = Kind{
+		Number:  408,
+		Name:    "server-limit-changed",
+		Meaning: "the backend server named another limit of requests a second, or none",
+	}
 )
 
 var admissionKinds = []Kind{
@@ -61,4 +67,5 @@
 	LimitChanged,
 	CircuitOpened,
 	CircuitClosed,
+	ServerLimitChanged,
 }
