Keep to the limit of requests a second that a server names

What callers saw: nothing yet, but a server that asks for less work got up to twice what the rule allows (127 to 146 requests in 4 s, 69 to 99 allowed).

Cause: nodes knew two limits only, the slots and what they measure. What a server says of itself in its answers was passed on unread.

Change: the gate beside the server is a token bucket too. Requests wait for it in order of importance like for a slot, and are refused as not run, with the time to come back, when that takes longer than their sender allows. A request that is refused after it got a slot gives its token back. The threshold counts such waits.

Why there: only this node reaches the server, so that the sum over all nodes needs no agreement.

--- a/internal/process/slots/gate.go
+++ b/internal/process/slots/gate.go
@@ -1,6 +1,6 @@
-// Package slots bounds the requests that a backend server runs at once. Requests
-// wait for a slot in order of importance, for as long as their sender allows and only
-// when they are expected to get one in that time.
+// Package slots bounds the requests that a backend server runs at once, and those that it
+// gets a second if it names a limit of them. Requests wait in order of importance, for as
+// long as their sender allows and only when they are expected to be sent in that time.
 package slots
 
 import (
@@ -92,6 +92,9 @@
 	queued    int
 	queues    [levels][]*waiter
 	threshold thresholdState
+	rate      rateLimit
+	// grantPending is set while a timer will grant slots when the rate limit allows.
+	grantPending bool
 	// meanSlotTime is the average time that a slot is held, in seconds; 0 before the first release.
 	meanSlotTime float64
 }
@@ -120,6 +123,30 @@
 	g.grant()
 }
 
+// SetRateLimit changes the requests a second that the server accepts.
+func (g *Gate) SetRateLimit(limited bool, limit lagoonbarrow.RequestsPerSecond) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.rate.set(limited, limit, g.config.Now())
+	g.grant()
+}
+
+// RateUsage returns the fraction of the rate limit that is in use, 0 without one. It is 1
+// or more while requests have to wait for it.
+func (g *Gate) RateUsage() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.rate.usage(g.queued, g.config.Now())
+}
+
+// Unused records that a request was granted a slot and is not sent to the server.
+func (g *Gate) Unused() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.rate.giveBack(g.config.Now())
+	g.grant()
+}
+
 // Load returns the gate's state.
 func (g *Gate) Load() lagoonbarrow.Load {
 	g.mu.Lock()
@@ -164,8 +191,8 @@
 	}
 	position := g.queuePosition(w)
 	ahead := position + g.waitersAbove(level)
-	if g.running < g.limit && ahead == 0 {
-		g.running++
+	if ahead == 0 && g.isOpen() {
+		g.admit()
 		return nil, nil
 	}
 	wait := g.expectedWait(ahead)
@@ -174,9 +201,21 @@
 	}
 	g.queues[level] = slices.Insert(g.queues[level], position, w)
 	g.queued++
+	g.scheduleGrant()
 	return w, nil
 }
 
+// isOpen reports whether a request may be sent now. The caller holds the mutex.
+func (g *Gate) isOpen() bool {
+	return g.running < g.limit && g.rate.available(g.config.Now())
+}
+
+// admit uses a slot, and a token of the rate limit. The caller holds the mutex.
+func (g *Gate) admit() {
+	g.running++
+	g.rate.take(g.config.Now())
+}
+
 // queuePosition returns the position of a new waiter in the queue of its level.
 func (g *Gate) queuePosition(w *waiter) int {
 	queue := g.queues[w.level]
@@ -203,11 +242,20 @@
 }
 
 // expectedWait estimates the time until a request with the given number of waiters
-// ahead of it gets a slot.
+// ahead of it may be sent.
 func (g *Gate) expectedWait(ahead int) time.Duration {
+	return max(g.slotWait(ahead), g.rate.wait(ahead, g.config.Now()))
+}
+
+// slotWait estimates the time until there is a slot for a request with the given number of
+// waiters ahead of it.
+func (g *Gate) slotWait(ahead int) time.Duration {
 	if g.limit == 0 {
 		return time.Second
 	}
+	if g.running+ahead < g.limit {
+		return 0
+	}
 	seconds := g.meanSlotTime * float64(ahead+1) / float64(g.limit)
 	return time.Duration(seconds * float64(time.Second))
 }
@@ -287,16 +335,33 @@
 	}
 }
 
-// grant assigns free slots to waiters, the most important first. The caller holds
-// the mutex.
+// grant assigns free slots to waiters, the most important first, as far as the rate limit
+// allows. The caller holds the mutex.
 func (g *Gate) grant() {
 	for level := levels - 1; level >= 0; level-- {
-		for len(g.queues[level]) > 0 && g.running < g.limit {
+		for len(g.queues[level]) > 0 && g.isOpen() {
 			next := g.queues[level][0]
 			g.queues[level] = g.queues[level][1:]
 			g.queued--
-			g.running++
+			g.admit()
 			next.result <- nil
 		}
 	}
+	g.scheduleGrant()
+}
+
+// scheduleGrant grants slots when the rate limit allows the next request, if one waits for
+// that. The caller holds the mutex.
+func (g *Gate) scheduleGrant() {
+	if g.grantPending || g.queued == 0 || g.running >= g.limit {
+		return
+	}
+	g.grantPending = true
+	delay := max(minGrantDelay, g.rate.wait(0, g.config.Now()))
+	time.AfterFunc(delay, func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.grantPending = false
+		g.grant()
+	})
 }
--- a/internal/process/slots/threshold.go
+++ b/internal/process/slots/threshold.go
@@ -46,7 +46,7 @@
 	state := &g.threshold
 	if now.Sub(state.sampledAt) >= sampleInterval {
 		state.sampledAt = now
-		state.control.Sample(g.longestWait(now), g.running < g.limit)
+		state.control.Sample(g.longestWait(now), g.isOpen())
 	}
 	elapsed := now.Sub(state.windowStart)
 	if elapsed < thresholdWindow {
@@ -88,10 +88,15 @@
 	}
 }
 
-// maxThroughput returns the number of calls that complete in a window when all slots are in use.
+// maxThroughput returns the number of calls that complete in a window when all slots are in
+// use, or that the rate limit allows.
 func (g *Gate) maxThroughput() float64 {
 	if g.meanSlotTime == 0 {
 		return 0
 	}
-	return float64(g.limit) * thresholdWindow.Seconds() / g.meanSlotTime
+	throughput := float64(g.limit) * thresholdWindow.Seconds() / g.meanSlotTime
+	if g.rate.limited {
+		throughput = min(throughput, g.rate.perSecond*thresholdWindow.Seconds())
+	}
+	return throughput
 }
--- a/internal/request/execute/handler.go
+++ b/internal/request/execute/handler.go
@@ -77,8 +77,8 @@
 		config:  config,
 		running: newActiveCalls(),
 		announcements: announcement.New(announcement.Config{
-			OnLimit:   func(bool, lagoonbarrow.RequestsPerSecond) {},
-			OnLeaving: func(lagoonbarrow.ServerID, time.Time) {},
+			OnLimit:   config.Gate.SetRateLimit,
+			OnLeaving: config.OnLeaving,
 			Recorder:  config.Recorder,
 		}),
 	}
@@ -118,20 +118,11 @@
 		return shedRefusal(call, err)
 	}
 	defer release()
-	// The server may have started to leave while the call waited.
-	server, refusal := h.checkServer(call)
+	server, refusal := h.checkRun(call)
 	if refusal != nil {
+		h.config.Gate.Unused()
 		return refusal
 	}
-	if !h.breaker.allow(call.Server, time.Now()) {
-		return lagoonbarrow.NewRefusal(call.ID, lagoonbarrow.ReasonNotReady)
-	}
-	if !h.withinRetryBudget(call) {
-		return lagoonbarrow.NewRefusal(call.ID, lagoonbarrow.ReasonExhausted)
-	}
-	if !h.circuitAllows(call) {
-		return lagoonbarrow.NewRefusal(call.ID, lagoonbarrow.ReasonDownstream)
-	}
 	run := h.running.add(call, deadline)
 	defer h.running.remove(call.Request)
 	answer := h.config.Relay.Relay(ctx, call, deadline)
@@ -147,6 +138,25 @@
 	return answer
 }
 
+// checkRun returns the server, or a refusal for a call that has a slot and must not run.
+func (h *Handler) checkRun(call *lagoonbarrow.Call) (registration.Server, *lagoonbarrow.Answer) {
+	// The server may have started to leave while the call waited.
+	server, refusal := h.checkServer(call)
+	if refusal != nil {
+		return server, refusal
+	}
+	if !h.breaker.allow(call.Server, time.Now()) {
+		return server, lagoonbarrow.NewRefusal(call.ID, lagoonbarrow.ReasonNotReady)
+	}
+	if !h.withinRetryBudget(call) {
+		return server, lagoonbarrow.NewRefusal(call.ID, lagoonbarrow.ReasonExhausted)
+	}
+	if !h.circuitAllows(call) {
+		return server, lagoonbarrow.NewRefusal(call.ID, lagoonbarrow.ReasonDownstream)
+	}
+	return server, nil
+}
+
 // withinRetryBudget reports whether the retry budget allows the call.
 func (h *Handler) withinRetryBudget(call *lagoonbarrow.Call) bool {
 	if call.Repeat {
