Stop sending to a server whose answers say that it leaves

What callers saw: requests went on to a server that had said in an answer that it leaves, until a heartbeat or its end said so too.

Only heartbeats counted.

Change: an answer that says so marks this lifetime of the server as departed (registration.MarkLeaving), like a heartbeat does: calls that wait are refused as not run, the node's row keeps it for the next process, and heartbeats of that lifetime change nothing.

--- a/internal/process/registration/server.go
+++ b/internal/process/registration/server.go
@@ -200,6 +200,22 @@
 	r.depart(id, started, "left before the start")
 }
 
+// MarkLeaving marks the server with this id and start time as having left, as one of its
+// answers says. Other nodes repeat it, so it may be called again.
+func (r *Registration) MarkLeaving(id lagoonbarrow.ServerID, started time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := r.hasDeparted(lagoonbarrow.Heartbeat{
+		ID:      id,
+		Started: started,
+	})
+	if known || id == r.latest.ID && r.latest.Started.After(started) {
+		return
+	}
+	r.config.Logger.Info("a backend server says that it leaves", "server", id, "present", r.latest.ID)
+	r.depart(id, started, "answer")
+}
+
 // depart adds a departed server, which is the current one if it has its id. The caller
 // holds the mutex.
 func (r *Registration) depart(id lagoonbarrow.ServerID, started time.Time, cause string) {
--- a/internal/process/registration/server_test.go
+++ b/internal/process/registration/server_test.go
@@ -173,3 +173,64 @@
 		t.Fatal("another server is ready")
 	}
 }
+
+// Guards against a server that is used on although its answers, or another node that has
+// passed one on, say that it leaves, and against a new server that gets nothing then.
+func TestServerThatSaysItLeavesGetsNothingNew(t *testing.T) {
+	first := newHeartbeat("a", 1, 1, lagoonbarrow.ServerReady)
+	later := newHeartbeat("a", 1, 2, lagoonbarrow.ServerReady)
+	reborn := newHeartbeat("a", 2, 1, lagoonbarrow.ServerReady)
+	tests := []struct {
+		name      string
+		steps     func(r *Registration)
+		wantReady bool
+	}{
+		{"while it is in use", func(r *Registration) {
+			_ = r.HandleHeartbeat(first)
+			r.MarkLeaving("a", first.Started)
+		}, false},
+		{"and sends heartbeats", func(r *Registration) {
+			_ = r.HandleHeartbeat(first)
+			r.MarkLeaving("a", first.Started)
+			_ = r.HandleHeartbeat(later)
+		}, false},
+		{"before its first heartbeat", func(r *Registration) {
+			r.MarkLeaving("a", first.Started)
+			_ = r.HandleHeartbeat(first)
+		}, false},
+		{"in an earlier lifetime", func(r *Registration) {
+			_ = r.HandleHeartbeat(reborn)
+			r.MarkLeaving("a", first.Started)
+		}, true},
+		{"and starts again under its id", func(r *Registration) {
+			_ = r.HandleHeartbeat(first)
+			r.MarkLeaving("a", first.Started)
+			_ = r.HandleHeartbeat(reborn)
+		}, true},
+		{"and another one starts", func(r *Registration) {
+			_ = r.HandleHeartbeat(first)
+			r.MarkLeaving("a", first.Started)
+			_ = r.HandleHeartbeat(newHeartbeat("b", 2, 1, lagoonbarrow.ServerReady))
+		}, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r, _ := newRegistration()
+			test.steps(r)
+			if _, ready := r.Current(); ready != test.wantReady {
+				t.Errorf("ready %t, want %t", ready, test.wantReady)
+			}
+		})
+	}
+}
+
+// Guards against a list of departed servers that other nodes fill with the same one.
+func TestRepeatedLeavingIsKeptOnce(t *testing.T) {
+	r, _ := newRegistration()
+	for range 3 {
+		r.MarkLeaving("a", time.Unix(1, 0))
+	}
+	if len(r.departed) != 1 {
+		t.Errorf("%d departed servers", len(r.departed))
+	}
+}
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -260,6 +260,7 @@
 		CurrentServer:  s.registration.Current,
 		OnReplaced:     s.registration.MarkReplaced,
 		OnUnreachable:  s.registration.MarkUnreachable,
+		OnLeaving:      s.registration.MarkLeaving,
 		Version:        s.routes.Version,
 		ObserveVersion: s.observeVersion,
 		Gate:           s.gate,
