Pass on what servers announce, and place requests by their limits

What callers saw: with the limit kept beside the server only, requests were placed by free slots, so a limited server looked idle: they were refused there and tried at up to four servers, deep in a chain after work was done above. After a restart of the process beside the server nothing knew the limit, nor that the server leaves, while the other nodes sent at their old rate.

What a server says of itself was known to one process only.

Change: answers between nodes carry the limit and the share of it in use (a field beside the answer's array, which older nodes skip). The chooser counts it like slots. Calls carry back what their sender has heard of that server, and a process that has not heard its server yet adopts it, for this lifetime of the server only.

--- a/call.go
+++ b/call.go
@@ -128,6 +128,9 @@
 	// Repeat is set if the call was already sent to a server, and on the downstream
 	// calls made while such a call runs.
 	Repeat bool `msgpack:"repeat,omitempty"`
+	// Announcement is what the sender has last heard from the backend server of the
+	// instance that it sends the call to; nil if that was nothing.
+	Announcement *Announcement `msgpack:"-"`
 }
 
 // Safe reports whether the call's method is safe in the sense of RFC 9110, so
--- a/interfaces.go
+++ b/interfaces.go
@@ -194,6 +194,10 @@
 	// Load is the callee's report, if HasLoad is set.
 	Load    Load
 	HasLoad bool
+	// Answered is set if the callee's backend server has answered.
+	Answered bool
+	// Announcement is what that server says about itself; nil if it says nothing.
+	Announcement *Announcement
 }
 
 // Router chooses instances for calls.
--- a/internal/connection/peer/exchange.go
+++ b/internal/connection/peer/exchange.go
@@ -86,7 +86,8 @@
 		return err
 	}
 	err := c.exchange(ctx, &packet{
-		Call: head,
+		Call:         head,
+		Announcement: call.Announcement,
 	}, string(call.ID), call.Body, receive)
 	if err != nil {
 		return nil, err
@@ -110,6 +111,7 @@
 	}
 	result := p.Answer.Answer
 	result.Body = body
+	result.Announcement = p.Announcement
 	return &result, nil
 }
 
--- a/internal/connection/peer/session.go
+++ b/internal/connection/peer/session.go
@@ -74,7 +74,7 @@
 	}
 	switch {
 	case p.Call != nil && c.purpose == purposeCalls:
-		return s.serveCall(p.Call)
+		return s.serveCall(p.Call, p.Announcement)
 	case p.Message != nil && c.purpose == purposeControl:
 		return s.serveMessage(p.Message)
 	default:
@@ -178,8 +178,9 @@
 	_ = s.connection.netConn.SetReadDeadline(time.Now().Add(s.server.config.DrainTimeout))
 }
 
-func (s *session) serveCall(head *callHead) error {
+func (s *session) serveCall(head *callHead, announced *lagoonbarrow.Announcement) error {
 	call := head.Call
+	call.Announcement = announced
 	body, buffered, release, err := s.receive(string(call.ID), call.Body, head.BodyBytes)
 	defer release()
 	if err != nil {
@@ -195,7 +196,8 @@
 	}
 	response.Body = inlineBody(result.Body)
 	err = s.reply(&packet{
-		Answer: response,
+		Answer:       response,
+		Announcement: result.Announcement,
 	}, string(call.ID), result.Body)
 	if errors.Is(err, lagoonbarrow.ErrTooLarge) {
 		return s.reply(&packet{
--- a/internal/connection/peer/wire.go
+++ b/internal/connection/peer/wire.go
@@ -38,7 +38,7 @@
 	refusedLimit           refusalReason = "limit"
 )
 
-// packet is the content of a frame. Exactly one field is set.
+// packet is the content of a frame. Exactly one field is set, besides Announcement.
 type packet struct {
 	Hello     *hello     `msgpack:"hello,omitempty"`
 	Challenge *challenge `msgpack:"challenge,omitempty"`
@@ -51,6 +51,9 @@
 	Body      *chunk     `msgpack:"body,omitempty"`
 	End       *end       `msgpack:"end,omitempty"`
 	GoingAway *goingAway `msgpack:"going-away,omitempty"`
+	// Announcement accompanies a call or an answer. It is no field of their arrays, since
+	// nodes without it would refuse these.
+	Announcement *lagoonbarrow.Announcement `msgpack:"announcement,omitempty"`
 }
 
 // hello is the first packet of the handshake, sent by the client.
--- a/internal/process/placement/chooser.go
+++ b/internal/process/placement/chooser.go
@@ -79,11 +79,14 @@
 // Choice is a chosen instance.
 type Choice struct {
 	Instance lagoonbarrow.Instance
-	// Full is set when all slots of the instance are in use, according to its last load
+	// Full is set when all slots of the instance are in use, or its limit, according to its last load
 	// report or, without a recent one, to the requests that this node has in flight.
 	Full bool
 	// Last is set when no other instance is left to try.
 	Last bool
+	// Announcement is what the instance's backend server has said about itself; nil if
+	// that was nothing.
+	Announcement *lagoonbarrow.Announcement
 }
 
 // Demand describes a request that needs an instance.
@@ -115,9 +118,10 @@
 		}
 	}
 	choice := Choice{
-		Instance: *best,
-		Full:     c.statsOf(best.ID).utilisation(best, now) >= 1,
-		Last:     left == 1,
+		Instance:     *best,
+		Full:         c.statsOf(best.ID).utilisation(best, now) >= 1,
+		Last:         left == 1,
+		Announcement: c.statsOf(best.ID).announced.toPassOn(now),
 	}
 	c.statsOf(best.ID).recordChoice(now)
 	return choice, nil
--- a/internal/process/placement/stats.go
+++ b/internal/process/placement/stats.go
@@ -69,6 +69,8 @@
 	startedSinceReport int
 	load               lagoonbarrow.Load
 	reportedAt         time.Time
+	// announced is what the backend server has said about itself.
+	announced announced
 	// latencyRatio is the moving average of the latencies, each divided by the average
 	// of its route.
 	latencyRatio   float64
@@ -96,6 +98,7 @@
 
 func (s *instanceStats) end(now time.Time, observed lagoonbarrow.Observation) {
 	s.inFlight--
+	s.announced.observe(now, observed)
 	if observed.HasLoad {
 		s.load = observed.Load
 		s.reportedAt = now
@@ -135,8 +138,13 @@
 	return max(minSuccess, 1-decayed(s.failureRatio, 0, now.Sub(s.failureRatioAt)))
 }
 
-// utilisation returns the fraction of the slots in use. It exceeds 1 with a queue.
+// utilisation returns the fraction of the slots in use, or that of the limit which the
+// server names, whichever is larger. It exceeds 1 with a queue.
 func (s *instanceStats) utilisation(instance *lagoonbarrow.Instance, now time.Time) float64 {
+	return max(s.slotUtilisation(instance, now), s.announced.utilisation(now, s.startedSinceReport))
+}
+
+func (s *instanceStats) slotUtilisation(instance *lagoonbarrow.Instance, now time.Time) float64 {
 	if now.Sub(s.reportedAt) > maxReportAge || s.load.Limit == 0 {
 		return float64(s.inFlight) / float64(max(1, instance.Slots))
 	}
--- a/internal/request/execute/handler.go
+++ b/internal/request/execute/handler.go
@@ -74,21 +74,26 @@
 		config.OnLeaving = func(lagoonbarrow.ServerID, time.Time) {}
 	}
 	return &Handler{
-		config:  config,
-		running: newActiveCalls(),
-		announcements: announcement.New(announcement.Config{
-			OnLimit:   config.Gate.SetRateLimit,
-			OnLeaving: config.OnLeaving,
-			Recorder:  config.Recorder,
-		}),
+		config:        config,
+		running:       newActiveCalls(),
+		announcements: newAnnouncements(config),
 	}
 }
 
+func newAnnouncements(config Config) *announcement.Tracker {
+	return announcement.New(announcement.Config{
+		OnLimit:   config.Gate.SetRateLimit,
+		OnLeaving: config.OnLeaving,
+		Recorder:  config.Recorder,
+	})
+}
+
 // HandleCall runs a call or refuses it. A refused call has not been run.
 func (h *Handler) HandleCall(ctx context.Context, call *lagoonbarrow.Call) *lagoonbarrow.Answer {
 	h.config.ObserveVersion(call.Configuration)
 	answer := h.handle(ctx, call)
 	answer.Load = h.config.Gate.Load()
+	answer.Announcement = h.announcementFor(answer)
 	if call.Nested {
 		// The sender of a client's request gets no threshold of this instance, since
 		// another instance may have a free slot.
@@ -106,6 +111,7 @@
 
 func (h *Handler) handle(ctx context.Context, call *lagoonbarrow.Call) *lagoonbarrow.Answer {
 	deadline := h.stopDeadline.Bound(time.Now().Add(call.Remaining))
+	h.adoptAnnouncement(call)
 	if _, refusal := h.checkServer(call); refusal != nil {
 		return refusal
 	}
@@ -255,14 +261,41 @@
 	return server, nil
 }
 
+// adoptAnnouncement processes what the sender of a call knows about the server.
+func (h *Handler) adoptAnnouncement(call *lagoonbarrow.Call) {
+	if call.Announcement == nil {
+		return
+	}
+	if server, _ := h.config.CurrentServer(); server.ID != "" {
+		h.announcements.SetServer(server.ID, server.Started)
+	}
+	h.announcements.Adopt(*call.Announcement)
+}
+
+// announcementFor returns what the sender of a call is told about the server, or nil: its
+// limit in force, and whether this answer says that it leaves.
+func (h *Handler) announcementFor(answer *lagoonbarrow.Answer) *lagoonbarrow.Announcement {
+	current := h.announcements.Current()
+	if answer.Announcement != nil && answer.Announcement.Leaving {
+		current = *answer.Announcement
+	}
+	if !current.Limited && !current.Leaving {
+		return nil
+	}
+	current.Usage = h.config.Gate.RateUsage()
+	return &current
+}
+
 // observeAnnouncement processes what an answer says about the server.
 func (h *Handler) observeAnnouncement(server registration.Server, answer *lagoonbarrow.Answer) {
 	if answer.Announcement == nil {
 		return
 	}
-	answer.Announcement.Server = server.ID
-	answer.Announcement.Started = server.Started
-	h.announcements.Observe(*answer.Announcement)
+	said := *answer.Announcement
+	said.Server = server.ID
+	said.Started = server.Started
+	answer.Announcement = &said
+	h.announcements.Observe(said)
 }
 
 // shedRefusal returns the refusal for a call that got no slot.
--- a/internal/request/forward/forwarder.go
+++ b/internal/request/forward/forwarder.go
@@ -209,8 +209,10 @@
 	}
 	f.config.ObserveVersion(answer.Configuration)
 	observed := lagoonbarrow.Observation{
-		Load:    answer.Load,
-		HasLoad: true,
+		Load:         answer.Load,
+		HasLoad:      true,
+		Answered:     answer.Outcome == lagoonbarrow.OutcomeDone,
+		Announcement: answer.Announcement,
 	}
 	// A failure due to a failed downstream call says nothing about the instance.
 	if answer.SentToServer && answer.Reason != lagoonbarrow.ReasonExhausted {
@@ -266,6 +268,7 @@
 		Path:          request.Path,
 		Header:        request.Header,
 		Body:          request.Body,
+		Announcement:  choice.Announcement,
 	}
 	if call.AtMostOnce && !call.Nested {
 		// Other calls save the bytes.
