Skip odd rows and heartbeats of other writers without losing the rest

What callers saw: none of it yet; another operator's nodes ended, or stopped following the list, after another writer had left one odd entry.

--- a/ids.go
+++ b/ids.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/rand"
 	"encoding/hex"
+	"net/netip"
 )
 
 // InstanceID identifies one node process and the backend server beside it. A
@@ -22,6 +23,12 @@
 // Address is an IP address and port, such as "127.0.0.1:7000".
 type Address string
 
+// Valid reports whether the address has an IP address and a port.
+func (a Address) Valid() bool {
+	parsed, err := netip.ParseAddrPort(string(a))
+	return err == nil && parsed.Port() > 0
+}
+
 // CustomerID identifies a customer, the organisation that a contract is made with.
 type CustomerID string
 
--- a/instance.go
+++ b/instance.go
@@ -24,6 +24,10 @@
 	return stateNames[s]
 }
 
+// MaxSlots is far above the slots of any backend server. Other programs may write larger
+// numbers to the store.
+const MaxSlots = 1 << 20
+
 // Instance is the roster's entry for one node and its backend server.
 type Instance struct {
 	ID          InstanceID    `msgpack:"id" json:"id"`
--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -74,7 +74,9 @@
 			ownRow = row
 			continue
 		}
-		d.setInstance(row)
+		if !d.setInstance(row) {
+			d.keepInstance(lagoonbarrow.InstanceID(row.Key), previous)
+		}
 	}
 	if self, found := previous[d.config.Self]; found {
 		d.entries[d.config.Self] = self
@@ -115,15 +117,24 @@
 	d.publish()
 }
 
-// setInstance adds or updates another instance from its row. It skips an invalid row.
-func (d *Directory) setInstance(row lagoonbarrow.Row) {
+// setInstance adds or updates another instance from its row. It skips an invalid row and
+// returns false. The instance's node writes its row again.
+func (d *Directory) setInstance(row lagoonbarrow.Row) bool {
 	instance, err := decode(row)
 	if err != nil {
 		d.config.Logger.Warn("skipped an instance row", "key", row.Key, "version", row.Version, "error", err)
-		return
+		return false
 	}
 	d.entries[instance.ID] = instance
 	d.versions[instance.ID] = row.Version
+	return true
+}
+
+// keepInstance keeps an instance from before a Replace.
+func (d *Directory) keepInstance(id lagoonbarrow.InstanceID, previous map[lagoonbarrow.InstanceID]lagoonbarrow.Instance) {
+	if instance, found := previous[id]; found {
+		d.entries[id] = instance
+	}
 }
 
 // Version returns the version of another instance's row, or 0.
--- a/internal/process/directory/directory_test.go
+++ b/internal/process/directory/directory_test.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -86,7 +87,19 @@
 func TestInvalidRowsChangeNothing(t *testing.T) {
 	directory, _ := newDirectory()
 	directory.Replace([]lagoonbarrow.Row{newRow(t, "a", lagoonbarrow.StateReady, 1)})
-	for _, value := range []string{"", "{", "[]", `{"service":7}`, `{"service":"alpha"}`, `{"service":"alpha","peer":"x","slots":"many"}`} {
+	odd := []string{
+		"", "{", "[]", `{"service":7}`, `{"service":"alpha"}`, `{"service":"alpha","peer":"x","slots":"many"}`,
+		`{"service":"alpha","peer":"10.0.0.1:99000","slots":10,"state":"ready"}`,
+		`{"service":"alpha","peer":"10.0.0.1:0","slots":10,"state":"ready"}`,
+		`{"service":"alpha","peer":"10.0.0.1:-1","slots":10,"state":"ready"}`,
+		`{"service":"alpha","peer":"10.0.0.1","slots":10,"state":"ready"}`,
+		`{"service":"alpha","peer":":7000","slots":10,"state":"ready"}`,
+		`{"service":"alpha","peer":"no-address:7000","slots":10,"state":"ready"}`,
+		`{"service":"alpha","peer":"10.0.0.1:7000","slots":9223372036854775807,"state":"ready"}`,
+		`{"service":"alpha","peer":"10.0.0.1:7000","slots":1e400,"state":"ready"}`,
+		`{"service":"alpha","peer":"10.0.0.1:7000","slots":10,"state":"ready","x":` + strings.Repeat("[", 200_000) + strings.Repeat("]", 200_000) + `}`,
+	}
+	for _, value := range odd {
 		directory.Apply([]lagoonbarrow.Change{
 			newChange(lagoonbarrow.Row{
 				Key:   "a",
@@ -103,6 +116,21 @@
 	}
 }
 
+// Guards against an instance that is lost because an invalid row has replaced its own when
+// all rows are read again. Its node writes the row again.
+func TestInvalidRowDoesNotRemoveAnInstance(t *testing.T) {
+	directory, _ := newDirectory()
+	directory.Replace([]lagoonbarrow.Row{newRow(t, "a", lagoonbarrow.StateReady, 1), newRow(t, "b", lagoonbarrow.StateReady, 2)})
+	directory.Replace([]lagoonbarrow.Row{{
+		Key:     "a",
+		Version: 3,
+		Value:   []byte("{"),
+	}})
+	if found := directory.Instances("alpha"); len(found) != 1 || found[0].ID != "a" {
+		t.Fatalf("instances %v", found)
+	}
+}
+
 // Guards against a node that takes over the old state in its own row, or that does not
 // detect that its row was deleted.
 func TestOwnRowDoesNotOverrideSelf(t *testing.T) {
--- a/internal/process/directory/record.go
+++ b/internal/process/directory/record.go
@@ -79,9 +79,15 @@
 	if err := json.Unmarshal(row.Value, &decoded); err != nil {
 		return lagoonbarrow.Instance{}, errors.Wrapf(lagoonbarrow.ErrInvalid, "directory: decode row: %v", err)
 	}
-	if row.Key == "" || decoded.Service == "" || decoded.Peer == "" || decoded.Slots < 1 {
+	if row.Key == "" || decoded.Service == "" {
 		return lagoonbarrow.Instance{}, errors.Wrap(lagoonbarrow.ErrInvalid, "directory: row lacks a field")
 	}
+	if !decoded.Peer.Valid() {
+		return lagoonbarrow.Instance{}, errors.Wrapf(lagoonbarrow.ErrInvalid, "directory: address %q", decoded.Peer)
+	}
+	if decoded.Slots < 1 || decoded.Slots > lagoonbarrow.MaxSlots {
+		return lagoonbarrow.Instance{}, errors.Wrapf(lagoonbarrow.ErrInvalid, "directory: %d slots", decoded.Slots)
+	}
 	state := lagoonbarrow.StateLeaving
 	if decoded.State == lagoonbarrow.StateReady.String() {
 		state = lagoonbarrow.StateReady
