Refuse values between nodes that are nested too deeply

What operators saw elsewhere: one very deeply nested entry ended the processes that read it, again and again.

Cause: the library's Skip calls itself for each level. A frame with 4 million arrays, also one sent before the handshake, overflows the stack, which no recover can contain: TestDeeplyNestedValuesAreRefused ended its process with "fatal error: stack overflow" before.

Change: the check before decoding walks the value without recursion and refuses more than 64 levels; all messages go through it (frame.Unmarshal).

--- a/internal/connection/frame/unmarshal.go
+++ b/internal/connection/frame/unmarshal.go
@@ -42,11 +42,11 @@
 }
 
 func (d *pooledDecoder) decode(raw []byte, value any) error {
-	// The decoder allocates slices and byte strings of their declared length. Skip
+	// The decoder allocates slices and byte strings of their declared length. The check
 	// fails if the input is shorter than that, so a short frame can't make the decoder
 	// allocate gigabytes.
 	d.reset(raw)
-	if err := d.decoder.Skip(); err != nil {
+	if err := checkValue(d.decoder); err != nil {
 		return errors.Wrap(lagoonbarrow.ErrInvalidFrame, "frame: decode: "+err.Error())
 	}
 	if d.input.Len() != 0 {
--- a/internal/process/feed/changes.go
+++ b/internal/process/feed/changes.go
@@ -8,6 +8,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/connection/frame"
 )
 
 // The steps of a search for changes are bounded by the age of the node's copy, so that
@@ -255,7 +256,7 @@
 		return nil, err
 	}
 	reply := &changesReply{}
-	if err := msgpack.Unmarshal(response.Body, reply); err != nil {
+	if err := frame.Unmarshal(response.Body, reply); err != nil {
 		return nil, errors.Wrap(err, "feed: decode reply")
 	}
 	reply.Age += lateness(s.feed.config.Now().Sub(started), wait)
--- a/internal/process/feed/messages.go
+++ b/internal/process/feed/messages.go
@@ -8,6 +8,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/connection/frame"
 )
 
 // kindChanges is the kind of the messages that request the changes of a table.
@@ -61,7 +62,7 @@
 // requested time, until there are changes or the copy is confirmed again.
 func (h *Handler) HandleMessage(ctx context.Context, _ lagoonbarrow.InstanceID, message lagoonbarrow.Message) (lagoonbarrow.Message, error) {
 	var request changesRequest
-	if err := msgpack.Unmarshal(message.Body, &request); err != nil {
+	if err := frame.Unmarshal(message.Body, &request); err != nil {
 		return lagoonbarrow.Message{}, errors.Wrap(err, "feed: decode question")
 	}
 	reply := h.answer(ctx, request)
--- a/internal/process/quota/messages.go
+++ b/internal/process/quota/messages.go
@@ -7,6 +7,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/connection/frame"
 )
 
 // Message kinds.
@@ -132,7 +133,7 @@
 
 func decodeReport(message lagoonbarrow.Message) (report, error) {
 	var decoded report
-	if err := msgpack.Unmarshal(message.Body, &decoded); err != nil {
+	if err := frame.Unmarshal(message.Body, &decoded); err != nil {
 		return decoded, errors.Wrapf(lagoonbarrow.ErrInvalid, "quota: decode report: %v", err)
 	}
 	for _, entry := range decoded.Entries {
@@ -145,7 +146,7 @@
 
 func decodeAnswer(message lagoonbarrow.Message) (answer, error) {
 	var decoded answer
-	if err := msgpack.Unmarshal(message.Body, &decoded); err != nil {
+	if err := frame.Unmarshal(message.Body, &decoded); err != nil {
 		return decoded, errors.Wrapf(lagoonbarrow.ErrInvalid, "quota: decode answer: %v", err)
 	}
 	for _, entry := range decoded.Entries {
--- a/internal/process/roster/wire.go
+++ b/internal/process/roster/wire.go
@@ -1,7 +1,6 @@
 package roster
 
 import (
-	"bytes"
 	"time"
 	"unique"
 
@@ -9,6 +8,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/connection/frame"
 )
 
 // Kinds of membership messages.
@@ -136,12 +136,7 @@
 	if len(message.Body) > maxBodyBytes {
 		return errors.Wrapf(lagoonbarrow.ErrTooLarge, "roster: %s of %d bytes", kind, len(message.Body))
 	}
-	// The decoder allocates arrays by their declared length. Skipping over the body
-	// first checks that it contains all declared elements.
-	if err := msgpack.NewDecoder(bytes.NewReader(message.Body)).Skip(); err != nil {
-		return errors.Wrapf(lagoonbarrow.ErrInvalid, "roster: decode %s: %v", kind, err)
-	}
-	if err := msgpack.Unmarshal(message.Body, body); err != nil {
+	if err := frame.Unmarshal(message.Body, body); err != nil {
 		return errors.Wrapf(lagoonbarrow.ErrInvalid, "roster: decode %s: %v", kind, err)
 	}
 	return nil
--- a/internal/version/contract/messages.go
+++ b/internal/version/contract/messages.go
@@ -8,6 +8,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/connection/frame"
 )
 
 // Kinds of messages between nodes.
@@ -116,7 +117,7 @@
 }
 
 func decodeMessage(message lagoonbarrow.Message, into any) error {
-	if err := msgpack.Unmarshal(message.Body, into); err != nil {
+	if err := frame.Unmarshal(message.Body, into); err != nil {
 		return errors.Wrapf(lagoonbarrow.ErrInvalid, "contract: decode %s: %v", message.Kind, err)
 	}
 	return nil
