Let a limited server have a burst of 0.2 s instead of 0.5 s

While a long burst is used up nothing waits, so the threshold falls too low and admits too much.

Change: the bucket holds 0.2 s of the limit.

--- a/internal/process/slots/rate.go
+++ b/internal/process/slots/rate.go
@@ -10,7 +10,8 @@
 const (
 	// burstTime is the time without requests after which a server gets the requests of
 	// that time at once. Clients' requests come in small groups, and would wait otherwise.
-	burstTime = 500 * time.Millisecond
+	// While a longer burst is used up, nothing waits, and the threshold falls too low.
+	burstTime = 200 * time.Millisecond
 	// minRate is the lowest rate in requests a second. A server that accepts none must get
 	// some requests, as only its answers show that it accepts more again.
 	minRate = 0.8
