Play limits and leaving servers in the soak

Change: from the start of the faults about half of the servers name a limit, and one says at a random time that it leaves. No window of 4 s may exceed the limit from 3 s on; a node that has passed on that a server leaves sends it nothing 2 s later, unless it was restarted or frozen since.

--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -49,8 +49,15 @@
 
 	mu      sync.Mutex
 	version int
-	// sentTimes maps the id of each request to when its client sent it.
-	sentTimes map[string]time.Time
+	// sent maps the id of each request to when its client sent it, and to which node.
+	sent      map[string]sending
+	announced announcements
+}
+
+// sending is when a client sent a request, and to which node.
+type sending struct {
+	at    time.Time
+	entry *node
 }
 
 // node is a backend server with its sidecar process and the links between them and
@@ -73,6 +80,11 @@
 	// when a heartbeat with that state is first acknowledged.
 	draining          bool
 	drainAcknowledged time.Time
+	// leaving is set once the server says in its answers that it leaves. The fleet's mutex
+	// guards it.
+	leaving bool
+	// disturbed is when the process was last restarted or frozen.
+	disturbed time.Time
 }
 
 // build compiles the lagoonbarrow command, once for all seeds.
@@ -94,12 +106,16 @@
 	}
 	t.Cleanup(store.Close)
 	f := &fleet{
-		t:         t,
-		binary:    binary,
-		store:     store,
-		sentTimes: map[string]time.Time{},
-		seed:      seed,
-		random:    rand.New(rand.NewPCG(seed, seed)),
+		t:      t,
+		binary: binary,
+		store:  store,
+		sent:   map[string]sending{},
+		announced: announcements{
+			limits:   map[*node]int{},
+			passedOn: map[passing]time.Time{},
+		},
+		seed:   seed,
+		random: rand.New(rand.NewPCG(seed, seed)),
 	}
 	store.Rewrite(func(value []byte) []byte {
 		return bytes.ReplaceAll(value, []byte(peerPort), []byte(peerLinkPort))
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -103,6 +103,8 @@
 	clients.Wait()
 	f.checkRecovery()
 	f.checkDrained()
+	f.checkLimits()
+	f.checkLeft()
 }
 
 // client sends one request after another over persistent connections and checks each
@@ -142,7 +144,7 @@
 		Transport: transport,
 		Timeout:   5 * time.Second,
 	}
-	f.recordSent(id)
+	f.recordSent(n, id)
 	response, err := client.Do(request)
 	if err != nil {
 		// Without an answer nothing is guaranteed. The node may be dead or frozen.
@@ -154,6 +156,7 @@
 	if err != nil {
 		return 0
 	}
+	f.recordPassedOn(n, id, response.Header)
 	runs := f.runs(id)
 	write := strings.HasPrefix(path, "/file/")
 	switch {
@@ -169,17 +172,20 @@
 	return response.StatusCode
 }
 
-// recordSent records when a client sends a request.
-func (f *fleet) recordSent(id string) {
+// recordSent records when a client sends a request, and to which node.
+func (f *fleet) recordSent(entry *node, id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.sentTimes[id] = time.Now()
+	f.sent[id] = sending{
+		at:    time.Now(),
+		entry: entry,
+	}
 }
 
 func (f *fleet) sentAt(id string) time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.sentTimes[id]
+	return f.sent[id].at
 }
 
 // injectFaults injects random, overlapping faults for faultDuration and waits until
@@ -188,6 +194,7 @@
 	end := time.Now().Add(faultDuration)
 	var running sync.WaitGroup
 	running.Go(func() { f.injectLinkFaults(end) })
+	running.Go(f.injectAnnouncements)
 	for time.Now().Before(end) {
 		fault := f.randomFault()
 		running.Add(1)
@@ -243,6 +250,7 @@
 			n.process.Signal(syscall.SIGSTOP)
 			time.Sleep(duration)
 			n.process.Signal(syscall.SIGCONT)
+			n.recordDisturbance()
 		},
 		func() { n.process.Signal(syscall.SIGHUP) },
 		func() { f.injectStoreFaults(standin.Faults{Failure: failure}, duration) },
@@ -273,26 +281,38 @@
 func (f *fleet) drain(n *node) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if !f.mayLeave(n) {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.draining = true
+	n.server.SetState("draining")
+}
+
+// mayLeave reports whether a server is still in use and another one of its service would
+// remain. The caller holds the mutex.
+func (f *fleet) mayLeave(n *node) bool {
 	remaining := 0
 	for _, other := range f.nodes {
-		other.mu.Lock()
-		if other.service == n.service && !other.draining {
+		if other.service == n.service && !other.isLeaving() {
 			remaining++
 		}
-		other.mu.Unlock()
 	}
+	return remaining > 1 && !n.isLeaving()
+}
+
+// isLeaving reports whether the server leaves. The caller holds the fleet's mutex.
+func (n *node) isLeaving() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if remaining < 2 || n.draining {
-		return
-	}
-	n.draining = true
-	n.server.SetState("draining")
+	return n.draining || n.leaving
 }
 
 // restart ends the process with a signal and starts it again.
 func (n *node) restart(f *fleet, signal syscall.Signal) {
 	if n.process.Terminate(signal) {
+		n.recordDisturbance()
 		f.startNode(n)
 	}
 }
