Keep to the time that a server states for idle connections

What callers saw: a request lost on a connection that the server no longer kept, if it drops such connections without closing them.

--- a/internal/request/backend/connection.go
+++ b/internal/request/backend/connection.go
@@ -49,6 +49,9 @@
 	// usage is the memory of the answers of the current exchange.
 	usage     *memory.Usage
 	idleSince time.Time
+	// maxIdle is how long the server keeps the connection when it is idle, by its last
+	// answer, less a margin; 0 if that doesn't say so.
+	maxIdle time.Duration
 	// namesRequests is set once an answer has had the id of its request. Each later one
 	// has to have it too.
 	namesRequests bool
@@ -67,6 +70,23 @@
 	}
 }
 
+// observeKeepAlive records how long the server keeps the connection after an answer. It
+// returns false if that is too short to reuse it.
+func (c *connection) observeKeepAlive(header *fasthttp.ResponseHeader) bool {
+	c.maxIdle = 0
+	timeout, found := keepAliveTimeout(header)
+	if !found {
+		return true
+	}
+	c.maxIdle = timeout - keepAliveMargin
+	return c.maxIdle > 0
+}
+
+// keptByServer reports whether the server still keeps the idle connection.
+func (c *connection) keptByServer(now time.Time) bool {
+	return c.maxIdle == 0 || now.Sub(c.idleSince) < c.maxIdle
+}
+
 func (c *connection) close() {
 	c.closeOnce.Do(func() {
 		_ = c.netConn.Close()
--- a/internal/request/backend/exchange.go
+++ b/internal/request/backend/exchange.go
@@ -93,7 +93,8 @@
 	} else {
 		answer = d.toAnswer(call, response)
 		wanted := conn.usage.Complete()
-		reusable = wanted && found.allowsReuse(answer, d) && writeErr == nil && !response.ConnectionClose() && conn.reader.Buffered() == 0
+		kept := conn.observeKeepAlive(&response.Header)
+		reusable = wanted && kept && found.allowsReuse(answer, d) && writeErr == nil && !response.ConnectionClose() && conn.reader.Buffered() == 0
 	}
 	answer.SentToServer = true
 	return answer, reusable
--- a/internal/request/backend/pool.go
+++ b/internal/request/backend/pool.go
@@ -79,7 +79,7 @@
 		if c == nil {
 			break
 		}
-		if c.idleSince.After(idleCutoff) && socket.IsIdle(c.netConn) {
+		if c.idleSince.After(idleCutoff) && c.keptByServer(time.Now()) && socket.IsIdle(c.netConn) {
 			return c, nil
 		}
 		p.discard(c)
