--- a/internal/process/sidecar/announcement_test.go
+++ b/internal/process/sidecar/announcement_test.go
@@ -44,19 +44,6 @@
 	return &senders
 }
 
-// mostInWindow returns the largest number of requests that arrived in one limitWindow.
-func mostInWindow(arrivals []standin.Arrival) int {
-	most := 0
-	first := 0
-	for i, arrival := range arrivals {
-		for arrival.At.Sub(arrivals[first].At) > limitWindow {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
-
 // Guards against a server that gets more requests than the limit that it names, while
 // another server has room for them.
 func TestServerGetsNoMoreThanItsLimit(t *testing.T) {
@@ -74,10 +61,10 @@
 	close(stop)
 	senders.Wait()
 	allowed := int(limitFactor*limit*limitWindow.Seconds()) + limitSlack
-	if got := mostInWindow(limited.ArrivalsAfter(inForce)); got > allowed {
+	if got := standin.MostArrivals(limited.ArrivalsAfter(inForce), limitWindow); got > allowed {
 		t.Errorf("%d requests in %s, %d are allowed", got, limitWindow, allowed)
 	}
-	if got := mostInWindow(free.ArrivalsAfter(inForce)); got < 3*allowed {
+	if got := standin.MostArrivals(free.ArrivalsAfter(inForce), limitWindow); got < 3*allowed {
 		t.Errorf("only %d requests in %s at the server with room", got, limitWindow)
 	}
 }
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -3,13 +3,11 @@
 package sidecar
 
 import (
-	"context"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
 	"lagoonbarrow"
@@ -30,7 +28,6 @@
 	"lagoonbarrow/internal/request/execute"
 	"lagoonbarrow/internal/request/forward"
 	"lagoonbarrow/internal/version/routing"
-	"lagoonbarrow/pkg/event"
 )
 
 const (
@@ -430,76 +427,3 @@
 func (s *Sidecar) membersChanged(ids map[lagoonbarrow.InstanceID]bool) {
 	s.chooser.RetainInstances(ids)
 }
-
-func (s *Sidecar) applyConfigurationRows(rows []lagoonbarrow.Row) {
-	for _, row := range rows {
-		s.applyConfiguration(row)
-	}
-}
-
-func (s *Sidecar) applyConfigurationChanges(changes []lagoonbarrow.Change) {
-	for _, change := range changes {
-		if !change.Deleted {
-			s.applyConfiguration(change.Row)
-		}
-	}
-}
-
-// applyConfiguration puts a configuration in force if it is valid and newer.
-func (s *Sidecar) applyConfiguration(row lagoonbarrow.Row) {
-	if row.Key != s.config.Configuration.Key {
-		return
-	}
-	configuration, err := s.config.Configuration.Decode(row.Value)
-	if err != nil {
-		s.timeline.Record(event.ConfigurationRefused, event.Fields{
-			Detail: err.Error(),
-		})
-		return
-	}
-	if s.routes.Offer(configuration) {
-		s.chooser.RetainRoutes(configuration.RouteNames())
-		s.timeline.Record(event.ConfigurationInForce, event.Fields{
-			ContractVersion: uint64(configuration.Version),
-		})
-	}
-}
-
-// observeVersion refreshes the configuration when another node has a newer one.
-func (s *Sidecar) observeVersion(version lagoonbarrow.ConfigurationVersion) {
-	if version <= s.routes.Version() {
-		return
-	}
-	for highest := s.highestVersion.Load(); uint64(version) > highest; highest = s.highestVersion.Load() {
-		if s.highestVersion.CompareAndSwap(highest, uint64(version)) {
-			break
-		}
-	}
-	s.refreshConfiguration()
-}
-
-// configurationOutdated reports whether another node has a newer configuration.
-func (s *Sidecar) configurationOutdated() bool {
-	return s.highestVersion.Load() > uint64(s.routes.Version())
-}
-
-// deferredTransport refuses messages and calls until the peer client is built.
-type deferredTransport struct {
-	sidecar *Sidecar
-}
-
-// Send implements lagoonbarrow.MessageSender.
-func (t deferredTransport) Send(ctx context.Context, to lagoonbarrow.Address, message lagoonbarrow.Message) (lagoonbarrow.Message, error) {
-	if !t.sidecar.peerKey.inUse() {
-		return lagoonbarrow.Message{}, errors.Wrap(lagoonbarrow.ErrNotSent, "sidecar: the key of the nodes is not known yet")
-	}
-	return t.sidecar.transport.Send(ctx, to, message)
-}
-
-// Call implements forward.Transport.
-func (t deferredTransport) Call(ctx context.Context, to lagoonbarrow.Instance, call *lagoonbarrow.Call) (*lagoonbarrow.Answer, error) {
-	if !t.sidecar.peerKey.inUse() {
-		return nil, errors.Wrap(lagoonbarrow.ErrNotSent, "sidecar: the key of the nodes is not known yet")
-	}
-	return t.sidecar.transport.Call(ctx, to, call)
-}
--- a/soak/announcement_test.go
+++ b/soak/announcement_test.go
@@ -102,15 +102,8 @@
 	for n, limit := range f.announced.limits {
 		arrivals := n.server.ArrivalsAfter(f.announced.named.Add(limitDelay))
 		allowed := int(limitFactor*float64(limit)*limitWindow.Seconds()) + limitSlack
-		first := 0
-		for i, arrival := range arrivals {
-			for arrival.At.Sub(arrivals[first].At) > limitWindow {
-				first++
-			}
-			if got := i - first + 1; got > allowed {
-				f.t.Errorf("server %d names a limit of %d and got %d requests in %s, %d are allowed", n.index, limit, got, limitWindow, allowed)
-				break
-			}
+		if got := standin.MostArrivals(arrivals, limitWindow); got > allowed {
+			f.t.Errorf("server %d names a limit of %d and got %d requests in %s, %d are allowed", n.index, limit, got, limitWindow, allowed)
 		}
 	}
 }
