--- a/internal/process/placement/chooser.go
+++ b/internal/process/placement/chooser.go
@@ -79,8 +79,9 @@
 // Choice is a chosen instance.
 type Choice struct {
 	Instance lagoonbarrow.Instance
-	// Full is set when all slots of the instance are in use, or its limit, according to its last load
-	// report or, without a recent one, to the requests that this node has in flight.
+	// Full is set when all slots of the instance are in use, or all of the limit that its
+	// server names, according to its last load report or, without a recent one, to the
+	// requests that this node has in flight.
 	Full bool
 	// Last is set when no other instance is left to try.
 	Last bool
