--- a/internal/connection/frame/nesting_test.go
+++ b/internal/connection/frame/nesting_test.go
@@ -18,11 +18,26 @@
 		name string
 		raw  []byte
 	}{
-		{"arrays", append(bytes.Repeat([]byte{0x91}, depth), 0xc0)},
-		{"maps", append(bytes.Repeat([]byte{0x81, 0xa1, 'x'}, depth), 0xc0)},
-		{"long arrays", append(bytes.Repeat([]byte{0xdd, 0, 0, 0, 1}, depth), 0xc0)},
-		{"an unknown field", append(append([]byte{0x82, 0xa4, 'n', 'a', 'm', 'e', 0xa1, 'a', 0xa1, 'x'}, bytes.Repeat([]byte{0x91}, depth)...), 0xc0)},
-		{"a level too many", append(bytes.Repeat([]byte{0x91}, maxDepth), 0xc0)},
+		{
+			name: "arrays",
+			raw:  append(bytes.Repeat([]byte{0x91}, depth), 0xc0),
+		},
+		{
+			name: "maps",
+			raw:  append(bytes.Repeat([]byte{0x81, 0xa1, 'x'}, depth), 0xc0),
+		},
+		{
+			name: "long arrays",
+			raw:  append(bytes.Repeat([]byte{0xdd, 0, 0, 0, 1}, depth), 0xc0),
+		},
+		{
+			name: "an unknown field",
+			raw:  append(append([]byte{0x82, 0xa4, 'n', 'a', 'm', 'e', 0xa1, 'a', 0xa1, 'x'}, bytes.Repeat([]byte{0x91}, depth)...), 0xc0),
+		},
+		{
+			name: "a level too many",
+			raw:  append(bytes.Repeat([]byte{0x91}, maxDepth), 0xc0),
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/process/announcement/tracker.go
+++ b/internal/process/announcement/tracker.go
@@ -1,7 +1,7 @@
 // Package announcement holds what the backend server beside this node says about itself
 // in its answers: the requests a second that it accepts, and that it leaves.
 //
-// Only this node can reach the server, so it enforces both. It forgets them when it
+// Only this node can reach the server, so it enforces both. It loses them when it
 // starts again, while other nodes still know what they have passed on to their clients.
 // They send it with their calls, and this node adopts it until the server itself answers.
 package announcement
@@ -45,7 +45,7 @@
 	}
 }
 
-// SetServer forgets what another server, or an earlier lifetime of the server, has announced.
+// SetServer discards what another server, or an earlier lifetime of the server, has announced.
 func (t *Tracker) SetServer(server lagoonbarrow.ServerID, started time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/process/directory/directory_test.go
+++ b/internal/process/directory/directory_test.go
@@ -87,7 +87,7 @@
 func TestInvalidRowsChangeNothing(t *testing.T) {
 	directory, _ := newDirectory()
 	directory.Replace([]lagoonbarrow.Row{newRow(t, "a", lagoonbarrow.StateReady, 1)})
-	odd := []string{
+	invalid := []string{
 		"", "{", "[]", `{"service":7}`, `{"service":"alpha"}`, `{"service":"alpha","peer":"x","slots":"many"}`,
 		`{"service":"alpha","peer":"10.0.0.1:99000","slots":10,"state":"ready"}`,
 		`{"service":"alpha","peer":"10.0.0.1:0","slots":10,"state":"ready"}`,
@@ -99,7 +99,7 @@
 		`{"service":"alpha","peer":"10.0.0.1:7000","slots":1e400,"state":"ready"}`,
 		`{"service":"alpha","peer":"10.0.0.1:7000","slots":10,"state":"ready","x":` + strings.Repeat("[", 200_000) + strings.Repeat("]", 200_000) + `}`,
 	}
-	for _, value := range odd {
+	for _, value := range invalid {
 		directory.Apply([]lagoonbarrow.Change{
 			newChange(lagoonbarrow.Row{
 				Key:   "a",
--- a/internal/process/placement/announced_test.go
+++ b/internal/process/placement/announced_test.go
@@ -42,9 +42,21 @@
 		observed    []lagoonbarrow.Observation
 		wantOwnZone bool
 	}{
-		{"used up", []lagoonbarrow.Observation{limitedTo(10, 1.1)}, false},
-		{"half used", []lagoonbarrow.Observation{limitedTo(1000, 0.5)}, true},
-		{"ended", []lagoonbarrow.Observation{limitedTo(10, 1.1), unlimited}, true},
+		{
+			name:        "used up",
+			observed:    []lagoonbarrow.Observation{limitedTo(10, 1.1)},
+			wantOwnZone: false,
+		},
+		{
+			name:        "half used",
+			observed:    []lagoonbarrow.Observation{limitedTo(1000, 0.5)},
+			wantOwnZone: true,
+		},
+		{
+			name:        "ended",
+			observed:    []lagoonbarrow.Observation{limitedTo(10, 1.1), unlimited},
+			wantOwnZone: true,
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/process/registration/server_test.go
+++ b/internal/process/registration/server_test.go
@@ -185,33 +185,57 @@
 		steps     func(r *Registration)
 		wantReady bool
 	}{
-		{"while it is in use", func(r *Registration) {
-			_ = r.HandleHeartbeat(first)
-			r.MarkLeaving("a", first.Started)
-		}, false},
-		{"and sends heartbeats", func(r *Registration) {
-			_ = r.HandleHeartbeat(first)
-			r.MarkLeaving("a", first.Started)
-			_ = r.HandleHeartbeat(later)
-		}, false},
-		{"before its first heartbeat", func(r *Registration) {
-			r.MarkLeaving("a", first.Started)
-			_ = r.HandleHeartbeat(first)
-		}, false},
-		{"in an earlier lifetime", func(r *Registration) {
-			_ = r.HandleHeartbeat(reborn)
-			r.MarkLeaving("a", first.Started)
-		}, true},
-		{"and starts again under its id", func(r *Registration) {
-			_ = r.HandleHeartbeat(first)
-			r.MarkLeaving("a", first.Started)
-			_ = r.HandleHeartbeat(reborn)
-		}, true},
-		{"and another one starts", func(r *Registration) {
-			_ = r.HandleHeartbeat(first)
-			r.MarkLeaving("a", first.Started)
-			_ = r.HandleHeartbeat(newHeartbeat("b", 2, 1, lagoonbarrow.ServerReady))
-		}, true},
+		{
+			name: "while it is in use",
+			steps: func(r *Registration) {
+				_ = r.HandleHeartbeat(first)
+				r.MarkLeaving("a", first.Started)
+			},
+			wantReady: false,
+		},
+		{
+			name: "and sends heartbeats",
+			steps: func(r *Registration) {
+				_ = r.HandleHeartbeat(first)
+				r.MarkLeaving("a", first.Started)
+				_ = r.HandleHeartbeat(later)
+			},
+			wantReady: false,
+		},
+		{
+			name: "before its first heartbeat",
+			steps: func(r *Registration) {
+				r.MarkLeaving("a", first.Started)
+				_ = r.HandleHeartbeat(first)
+			},
+			wantReady: false,
+		},
+		{
+			name: "in an earlier lifetime",
+			steps: func(r *Registration) {
+				_ = r.HandleHeartbeat(reborn)
+				r.MarkLeaving("a", first.Started)
+			},
+			wantReady: true,
+		},
+		{
+			name: "and starts again under its id",
+			steps: func(r *Registration) {
+				_ = r.HandleHeartbeat(first)
+				r.MarkLeaving("a", first.Started)
+				_ = r.HandleHeartbeat(reborn)
+			},
+			wantReady: true,
+		},
+		{
+			name: "and another one starts",
+			steps: func(r *Registration) {
+				_ = r.HandleHeartbeat(first)
+				r.MarkLeaving("a", first.Started)
+				_ = r.HandleHeartbeat(newHeartbeat("b", 2, 1, lagoonbarrow.ServerReady))
+			},
+			wantReady: true,
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/process/slots/rate_test.go
+++ b/internal/process/slots/rate_test.go
@@ -64,13 +64,48 @@
 		// least is the number of requests that the fullest window should have.
 		least int
 	}{
-		{"low", 2, 50, 4 * 2},
-		{"usual", 15, 50, 4 * 15},
-		{"high", 70, 200, 4 * 70},
-		{"above the load", 70, 50, 4 * 50},
-		{"none accepted", 0, 50, 3},
-		{"below one in ten seconds", 0.05, 50, 3},
-		{"huge", math.MaxFloat64, 50, 4 * 50},
+		{
+			name:    "low",
+			limit:   2,
+			offered: 50,
+			least:   4 * 2,
+		},
+		{
+			name:    "usual",
+			limit:   15,
+			offered: 50,
+			least:   4 * 15,
+		},
+		{
+			name:    "high",
+			limit:   70,
+			offered: 200,
+			least:   4 * 70,
+		},
+		{
+			name:    "above the load",
+			limit:   70,
+			offered: 50,
+			least:   4 * 50,
+		},
+		{
+			name:    "none accepted",
+			limit:   0,
+			offered: 50,
+			least:   3,
+		},
+		{
+			name:    "below one in ten seconds",
+			limit:   0.05,
+			offered: 50,
+			least:   3,
+		},
+		{
+			name:    "huge",
+			limit:   math.MaxFloat64,
+			offered: 50,
+			least:   4 * 50,
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/request/backend/announcement_test.go
+++ b/internal/request/backend/announcement_test.go
@@ -19,22 +19,86 @@
 		want  lagoonbarrow.RequestsPerSecond
 		valid bool
 	}{
-		{"14.7", 14.7, true},
-		{"20", 20, true},
-		{"0", 0, true},
-		{".5", 0.5, true},
-		{"100000000000", 1e11, true},
-		{strings.Repeat("9", 400), 0, false},
-		{"-1", 0, false},
-		{"+1", 0, false},
-		{"1e3", 0, false},
-		{"NaN", 0, false},
-		{"Inf", 0, false},
-		{"0x10", 0, false},
-		{"1 2", 0, false},
-		{"1.2.3", 0, false},
-		{".", 0, false},
-		{"many", 0, false},
+		{
+			text:  "14.7",
+			want:  14.7,
+			valid: true,
+		},
+		{
+			text:  "20",
+			want:  20,
+			valid: true,
+		},
+		{
+			text:  "0",
+			want:  0,
+			valid: true,
+		},
+		{
+			text:  ".5",
+			want:  0.5,
+			valid: true,
+		},
+		{
+			text:  "100000000000",
+			want:  1e11,
+			valid: true,
+		},
+		{
+			text:  strings.Repeat("9", 400),
+			want:  0,
+			valid: false,
+		},
+		{
+			text:  "-1",
+			want:  0,
+			valid: false,
+		},
+		{
+			text:  "+1",
+			want:  0,
+			valid: false,
+		},
+		{
+			text:  "1e3",
+			want:  0,
+			valid: false,
+		},
+		{
+			text:  "NaN",
+			want:  0,
+			valid: false,
+		},
+		{
+			text:  "Inf",
+			want:  0,
+			valid: false,
+		},
+		{
+			text:  "0x10",
+			want:  0,
+			valid: false,
+		},
+		{
+			text:  "1 2",
+			want:  0,
+			valid: false,
+		},
+		{
+			text:  "1.2.3",
+			want:  0,
+			valid: false,
+		},
+		{
+			text:  ".",
+			want:  0,
+			valid: false,
+		},
+		{
+			text:  "many",
+			want:  0,
+			valid: false,
+		},
 	}
 	for _, test := range tests {
 		got, valid := parseLimit(test.text)
@@ -54,12 +118,48 @@
 		want    bool
 		outcome lagoonbarrow.Outcome
 	}{
-		{"whole", "", "i-1", true, lagoonbarrow.OutcomeDone},
-		{"failed", standin.FaultFailed, "i-1", true, lagoonbarrow.OutcomeDone},
-		{"refused", standin.FaultNotRun, "i-1", true, lagoonbarrow.OutcomeNotRun},
-		{"another server", "", "i-2", false, lagoonbarrow.OutcomeNotRun},
-		{"unsigned", standin.FaultUnsigned, "i-1", false, lagoonbarrow.OutcomeUnknown},
-		{"truncated", standin.FaultTruncated, "i-1", false, lagoonbarrow.OutcomeUnknown},
+		{
+			name:    "whole",
+			fault:   "",
+			server:  "i-1",
+			want:    true,
+			outcome: lagoonbarrow.OutcomeDone,
+		},
+		{
+			name:    "failed",
+			fault:   standin.FaultFailed,
+			server:  "i-1",
+			want:    true,
+			outcome: lagoonbarrow.OutcomeDone,
+		},
+		{
+			name:    "refused",
+			fault:   standin.FaultNotRun,
+			server:  "i-1",
+			want:    true,
+			outcome: lagoonbarrow.OutcomeNotRun,
+		},
+		{
+			name:    "another server",
+			fault:   "",
+			server:  "i-2",
+			want:    false,
+			outcome: lagoonbarrow.OutcomeNotRun,
+		},
+		{
+			name:    "unsigned",
+			fault:   standin.FaultUnsigned,
+			server:  "i-1",
+			want:    false,
+			outcome: lagoonbarrow.OutcomeUnknown,
+		},
+		{
+			name:    "truncated",
+			fault:   standin.FaultTruncated,
+			server:  "i-1",
+			want:    false,
+			outcome: lagoonbarrow.OutcomeUnknown,
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/request/backend/keepalive_test.go
+++ b/internal/request/backend/keepalive_test.go
@@ -21,16 +21,56 @@
 		want  time.Duration
 		found bool
 	}{
-		{"timeout=5", 5 * time.Second, true},
-		{"timeout=5, max=100", 5 * time.Second, true},
-		{"max=100, Timeout = 7", 7 * time.Second, true},
-		{"4", 4 * time.Second, true},
-		{"timeout=0", 0, true},
-		{"", 0, false},
-		{"max=100", 0, false},
-		{"timeout=-1", 0, false},
-		{"timeout=99999999999999999999", 0, false},
-		{"timeout=soon", 0, false},
+		{
+			text:  "timeout=5",
+			want:  5 * time.Second,
+			found: true,
+		},
+		{
+			text:  "timeout=5, max=100",
+			want:  5 * time.Second,
+			found: true,
+		},
+		{
+			text:  "max=100, Timeout = 7",
+			want:  7 * time.Second,
+			found: true,
+		},
+		{
+			text:  "4",
+			want:  4 * time.Second,
+			found: true,
+		},
+		{
+			text:  "timeout=0",
+			want:  0,
+			found: true,
+		},
+		{
+			text:  "",
+			want:  0,
+			found: false,
+		},
+		{
+			text:  "max=100",
+			want:  0,
+			found: false,
+		},
+		{
+			text:  "timeout=-1",
+			want:  0,
+			found: false,
+		},
+		{
+			text:  "timeout=99999999999999999999",
+			want:  0,
+			found: false,
+		},
+		{
+			text:  "timeout=soon",
+			want:  0,
+			found: false,
+		},
 	}
 	for _, test := range tests {
 		header := &fasthttp.ResponseHeader{}
@@ -41,9 +81,9 @@
 	}
 }
 
-// forgetfulServer answers requests and forgets an idle connection after the time that it
+// startDroppingServer starts a server that drops an idle connection after the time that it
 // states, without closing it.
-func forgetfulServer(t *testing.T, keptSeconds int) string {
+func startDroppingServer(t *testing.T, keptSeconds int) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -57,13 +97,13 @@
 				return
 			}
 			t.Cleanup(func() { _ = conn.Close() })
-			go serveForgetfully(conn, keptSeconds)
+			go serveAndDrop(conn, keptSeconds)
 		}
 	}()
 	return listener.Addr().String()
 }
 
-func serveForgetfully(conn net.Conn, keptSeconds int) {
+func serveAndDrop(conn net.Conn, keptSeconds int) {
 	in := bufio.NewReader(conn)
 	for {
 		request, err := http.ReadRequest(in)
@@ -80,7 +120,7 @@
 // server no longer keeps, by its own answer.
 func TestConnectionIsNotReusedAfterTheStatedTime(t *testing.T) {
 	client, err := New(Config{
-		Address: lagoonbarrow.Address(forgetfulServer(t, 1)),
+		Address: lagoonbarrow.Address(startDroppingServer(t, 1)),
 		Headers: platform.Headers(),
 	})
 	if err != nil {
--- a/internal/request/execute/announcement_test.go
+++ b/internal/request/execute/announcement_test.go
@@ -143,14 +143,26 @@
 		said lagoonbarrow.Announcement
 		want bool
 	}{
-		{"nothing", lagoonbarrow.Announcement{}, false},
-		{"a limit", lagoonbarrow.Announcement{
-			Limited: true,
-			Limit:   10,
-		}, true},
-		{"leaving", lagoonbarrow.Announcement{
-			Leaving: true,
-		}, true},
+		{
+			name: "nothing",
+			said: lagoonbarrow.Announcement{},
+			want: false,
+		},
+		{
+			name: "a limit",
+			said: lagoonbarrow.Announcement{
+				Limited: true,
+				Limit:   10,
+			},
+			want: true,
+		},
+		{
+			name: "leaving",
+			said: lagoonbarrow.Announcement{
+				Leaving: true,
+			},
+			want: true,
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/request/execute/handler.go
+++ b/internal/request/execute/handler.go
@@ -291,11 +291,11 @@
 	if answer.Announcement == nil {
 		return
 	}
-	said := *answer.Announcement
-	said.Server = server.ID
-	said.Started = server.Started
-	answer.Announcement = &said
-	h.announcements.Observe(said)
+	announced := *answer.Announcement
+	announced.Server = server.ID
+	announced.Started = server.Started
+	answer.Announcement = &announced
+	h.announcements.Observe(announced)
 }
 
 // shedRefusal returns the refusal for a call that got no slot.
