Ignore limits of other nodes that are no amounts

What callers would have seen: a limit of NaN that another node passes on stops all calls to a server for good, as the bucket never fills and no answer of the server comes to correct it. The parser of answers yields no such value; a faulty node could.

Cause: the numbers in announcements of other nodes were not checked, only those in the servers' answers.

Change: Announcement.Valid; the tracker logs and ignores an invalid one, the chooser takes it for none.

--- a/announcement.go
+++ b/announcement.go
@@ -1,6 +1,9 @@
 package lagoonbarrow
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // RequestsPerSecond is a rate of requests.
 type RequestsPerSecond float64
@@ -26,6 +29,17 @@
 	Malformed bool `msgpack:"-"`
 }
 
+// Valid reports whether the numbers can be compared with others. Those of another node need
+// not be.
+func (a *Announcement) Valid() bool {
+	return isAmount(float64(a.Limit)) && isAmount(a.Usage)
+}
+
+// isAmount reports whether a number is finite and not negative. It is not for NaN.
+func isAmount(number float64) bool {
+	return number >= 0 && !math.IsInf(number, 1)
+}
+
 // IsFrom reports whether the announcement was made in the given lifetime of a server.
 func (a *Announcement) IsFrom(server ServerID, started time.Time) bool {
 	return a.Server == server && a.Started.Equal(started)
--- a/internal/process/announcement/tracker.go
+++ b/internal/process/announcement/tracker.go
@@ -90,6 +90,10 @@
 	if t.heard || !passedOn.Limited || !t.current.IsFrom(passedOn.Server, passedOn.Started) {
 		return
 	}
+	if !passedOn.Valid() {
+		t.record("a malformed limit of another node was ignored")
+		return
+	}
 	if t.current.Limited && t.current.Limit <= passedOn.Limit {
 		return
 	}
--- a/internal/process/announcement/tracker_test.go
+++ b/internal/process/announcement/tracker_test.go
@@ -157,6 +157,14 @@
 				tracker.Adopt(limitOf(10))
 			},
 		},
+		{
+			name: "passed on, and not a number",
+			apply: func(tracker *Tracker) {
+				tracker.Adopt(limitOf(lagoonbarrow.RequestsPerSecond(math.NaN())))
+				tracker.Adopt(limitOf(lagoonbarrow.RequestsPerSecond(math.Inf(1))))
+				tracker.Adopt(limitOf(-1))
+			},
+		},
 		{
 			name: "passed on for the server before",
 			apply: func(tracker *Tracker) {
--- a/internal/process/placement/announced.go
+++ b/internal/process/placement/announced.go
@@ -24,11 +24,11 @@
 	leavingAt time.Time
 }
 
-// observe processes the result of a call. An answer of the server without a limit ends an
-// earlier one; that it leaves is final.
+// observe processes the result of a call. An answer of the server without a limit, or with
+// invalid numbers, ends an earlier one; that it leaves is final.
 func (a *announced) observe(now time.Time, observed lagoonbarrow.Observation) {
 	received := observed.Announcement
-	if received == nil {
+	if received == nil || !received.Valid() {
 		a.Limited = a.Limited && !observed.Answered
 		return
 	}
--- a/internal/process/placement/announced_test.go
+++ b/internal/process/placement/announced_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -71,6 +72,19 @@
 	}
 }
 
+// Guards against an instance that is never or always chosen because its node reports numbers
+// that can't be compared.
+func TestInvalidAnnouncementsAreIgnored(t *testing.T) {
+	for _, number := range []float64{math.NaN(), math.Inf(1), -1} {
+		f := newFixture()
+		f.request(0, limitedTo(10, number))
+		f.request(1, limitedTo(lagoonbarrow.RequestsPerSecond(number), 0.5))
+		if choice := f.pick(t); choice.Instance.Zone != "zone-0" || choice.Announcement != nil {
+			t.Errorf("%g: choice %+v", number, choice)
+		}
+	}
+}
+
 // Guards against many requests to one server between two of its reports.
 func TestRequestsSinceTheReportCountAgainstTheLimit(t *testing.T) {
 	f := newFixture()
