Count arrivals in a window in one place

Cause: the tests of the slots and of the execute package had their own counts beside standin.MostArrivals.

Change: both use it. The bounds and checks are the same.

--- a/internal/process/slots/rate_test.go
+++ b/internal/process/slots/rate_test.go
@@ -11,13 +11,14 @@
 	"github.com/pkg/errors"
 
 	"lagoonbarrow"
+	"lagoonbarrow/platform/standin"
 )
 
 // grants sends requests at a steady rate through a gate and returns when each was granted.
 // Each holds its slot for callTime.
-func grants(gate *Gate, perSecond int, length, maxWait time.Duration) []time.Time {
+func grants(gate *Gate, perSecond int, length, maxWait time.Duration) []standin.Arrival {
 	var mu sync.Mutex
-	var granted []time.Time
+	var granted []standin.Arrival
 	var requests sync.WaitGroup
 	for i := range int(length.Seconds() * float64(perSecond)) {
 		requests.Go(func() {
@@ -29,7 +30,9 @@
 				return
 			}
 			mu.Lock()
-			granted = append(granted, time.Now())
+			granted = append(granted, standin.Arrival{
+				At: time.Now(),
+			})
 			mu.Unlock()
 			time.Sleep(callTime)
 			release()
@@ -40,19 +43,6 @@
 	return granted
 }
 
-// most returns the largest number of times within one window.
-func most(times []time.Time, window time.Duration) int {
-	largest := 0
-	first := 0
-	for i, at := range times {
-		for at.Sub(times[first]) > window {
-			first++
-		}
-		largest = max(largest, i-first+1)
-	}
-	return largest
-}
-
 // Guards against a server that gets more requests than the limit that it names, and against
 // a limit that isn't used.
 func TestRateLimitBoundsEachWindow(t *testing.T) {
@@ -114,7 +104,7 @@
 				gate.SetRateLimit(true, test.limit)
 				granted := grants(gate, test.offered, 10*time.Second, 500*time.Millisecond)
 				allowed := 1.5*float64(test.limit)*window.Seconds() + 5
-				if got := most(granted, window); float64(got) > allowed || got < test.least {
+				if got := standin.MostArrivals(granted, window); float64(got) > allowed || got < test.least {
 					t.Errorf("%d requests in %s, want %d to %g", got, window, test.least, allowed)
 				}
 			})
--- a/internal/request/execute/announcement_test.go
+++ b/internal/request/execute/announcement_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lagoonbarrow"
+	"lagoonbarrow/platform/standin"
 )
 
 // limitedServer is a backend server that names a limit and records when requests reach it.
@@ -17,12 +18,14 @@
 	limit    lagoonbarrow.RequestsPerSecond
 
 	mu       sync.Mutex
-	arrivals []time.Time
+	arrivals []standin.Arrival
 }
 
 func (s *limitedServer) Relay(_ context.Context, call *lagoonbarrow.Call, _ time.Time) *lagoonbarrow.Answer {
 	s.mu.Lock()
-	s.arrivals = append(s.arrivals, time.Now())
+	s.arrivals = append(s.arrivals, standin.Arrival{
+		At: time.Now(),
+	})
 	s.mu.Unlock()
 	time.Sleep(s.workTime)
 	answer := done
@@ -34,19 +37,6 @@
 	return &answer
 }
 
-// mostInWindow returns the largest number of requests that reached the server in a window.
-func (s *limitedServer) mostInWindow(window time.Duration) int {
-	most := 0
-	first := 0
-	for i, at := range s.arrivals {
-		for at.Sub(s.arrivals[first]) > window {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
-
 // newLimitedHandler returns the handler of a process that has just started beside the server.
 func newLimitedHandler(server *limitedServer) *Handler {
 	handler, gate := newHandler(&server.fakeServer)
@@ -105,7 +95,7 @@
 			time.Sleep(time.Second / callsPerSecond)
 		}
 		calls.Wait()
-		if got := server.mostInWindow(window); got > allowed {
+		if got := standin.MostArrivals(server.arrivals, window); got > allowed {
 			t.Errorf("%d requests in %s, %g are allowed", got, window, float64(allowed))
 		}
 	})
