--- a/internal/process/feed/cache.go
+++ b/internal/process/feed/cache.go
@@ -52,15 +52,16 @@
 }
 
 // Replace replaces the copy of a table by its rows at a version. age is the time since
-// this version was confirmed as the store's newest. A copy with a newer version is kept.
+// this version was confirmed as the store's newest. A copy with a newer version is kept,
+// and the result is false.
 // The changes since an older copy stay known: other nodes would otherwise all have to
 // read the store when it has dropped its history.
-func (c *Cache) Replace(table string, rows []lagoonbarrow.Row, version lagoonbarrow.RowVersion, age time.Duration) {
+func (c *Cache) Replace(table string, rows []lagoonbarrow.Row, version lagoonbarrow.RowVersion, age time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	previous := c.tables[table]
 	if previous != nil && previous.version > version {
-		return
+		return false
 	}
 	replacement := &tableCopy{
 		rows:         map[string]lagoonbarrow.Row{},
@@ -78,6 +79,7 @@
 		replacement.inheritHistory(previous)
 		close(previous.updated)
 	}
+	return true
 }
 
 // inheritHistory adds the deletions that the previous copy knows, and those of its rows
--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -80,7 +80,9 @@
 	})
 	if response.err == nil {
 		f.recordStoreSuccess()
-		f.config.Cache.Replace(table, response.rows, response.version, response.age)
+		if !f.config.Cache.Replace(table, response.rows, response.version, response.age) {
+			f.config.Logger.Warn("the store's rows are older than the copy of the table", "table", table, "version", response.version)
+		}
 	}
 	return response.rows, response.version, response.err
 }
