--- a/internal/process/sidecar/fleet_test.go
+++ b/internal/process/sidecar/fleet_test.go
@@ -93,11 +93,17 @@
 }
 
 func (f *fleet) start(index int, service string, server lagoonbarrow.Address) *Sidecar {
+	f.t.Helper()
+	return f.startAs(lagoonbarrow.InstanceID(fmt.Sprintf("node-%d", index)), service, server)
+}
+
+// startAs starts a sidecar with an id, on a machine of its own.
+func (f *fleet) startAs(id lagoonbarrow.InstanceID, service string, server lagoonbarrow.Address) *Sidecar {
 	f.t.Helper()
 	address := newMachine()
 	sidecar, err := New(Config{
 		Settings: lagoonbarrow.SidecarSettings{
-			Instance:          lagoonbarrow.InstanceID(fmt.Sprintf("node-%d", index)),
+			Instance:          id,
 			Zone:              "zone",
 			Service:           lagoonbarrow.ServiceName(service),
 			ServerAddress:     server,
--- /dev/null
+++ b/internal/process/sidecar/restore_test.go
@@ -0,0 +1,247 @@
+package sidecar
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lagoonbarrow"
+	"lagoonbarrow/internal/process/directory"
+	"lagoonbarrow/platform/standin"
+)
+
+const (
+	// applyBound is the time in which a change has to be in force on all nodes.
+	applyBound = 2 * time.Second
+	// pollBound is the time in which all nodes have queried the store or each other once.
+	pollBound = 1500 * time.Millisecond
+	// outage is how long the store is away before it comes back from a copy.
+	outage = 800 * time.Millisecond
+)
+
+// loseWrites makes the nodes see writes that the next restore loses.
+func (f *fleet) loseWrites(count int) {
+	for i := range count {
+		f.store.Put("other", fmt.Sprint(i), []byte("lost"))
+	}
+	time.Sleep(pollBound)
+}
+
+// restore takes the store away and brings it back from a copy.
+func (f *fleet) restore(from standin.Copy) {
+	f.store.SetFaults(standin.Faults{
+		Failure: standin.FailBusy,
+	})
+	time.Sleep(outage)
+	f.store.Restore(from)
+	f.store.SetFaults(standin.Faults{})
+}
+
+// inForce reports whether all nodes have the last configuration in force.
+func (f *fleet) inForce() bool {
+	for _, m := range f.members {
+		if m.sidecar.routes.Version() != lagoonbarrow.ConfigurationVersion(f.version) {
+			return false
+		}
+	}
+	return true
+}
+
+// within waits until the condition is met, or fails after the bound.
+func (f *fleet) within(bound time.Duration, condition string, met func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(bound); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if met() {
+			return
+		}
+	}
+	f.t.Errorf("condition not met after %s: %s", bound, condition)
+}
+
+// Guards against a change that no node reads because the restored store has given it a
+// version that the nodes have seen before.
+func TestChangeIsInForceAfterARestoreGivesOutItsVersionAgain(t *testing.T) {
+	tests := []struct {
+		name string
+		// lost is the number of writes that the restore loses, rewritten the number of
+		// writes between the restore and the change.
+		lost      int
+		rewritten int
+	}{
+		{"the counter is behind", 5, 0},
+		{"the counter is at the same version", 3, 2},
+		{"the counter is ahead", 3, 6},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFleet(t, 0, nil)
+			before := f.store.Copy()
+			f.loseWrites(test.lost)
+			f.restore(before)
+			for i := range test.rewritten {
+				f.store.Put("other", fmt.Sprint(i), []byte("new"))
+			}
+			f.configure("beta")
+			f.within(applyBound, "the change is in force on all nodes", f.inForce)
+		})
+	}
+}
+
+// Guards against calls without a pause to a restored store whose counter is behind the
+// nodes' copies.
+func TestRestoredStoreIsNotCalledInALoop(t *testing.T) {
+	const (
+		length            = 4 * time.Second
+		maxCallsPerSecond = 10
+	)
+	f := newFleet(t, 0, nil)
+	before := f.store.Copy()
+	f.loseWrites(50)
+	f.restore(before)
+	calls := func() int { return f.store.Calls("/rows-get") + f.store.Calls("/rows-feed") + f.store.Calls("/rows-tx") }
+	first := calls()
+	time.Sleep(length)
+	made := calls() - first
+	t.Logf("%d calls of %d nodes in %s", made, len(f.members), length)
+	if made > maxCallsPerSecond*len(f.members)*int(length/time.Second) {
+		t.Errorf("%d calls of %d nodes in %s", made, len(f.members), length)
+	}
+}
+
+// Guards against rows that nodes keep although the restore has removed or changed them.
+func TestInstancesFollowARestore(t *testing.T) {
+	row := func(service string) []byte {
+		return fmt.Appendf(nil, `{"service":%q,"zone":"zone","peer":"127.0.0.9:7004","slots":5,"state":"ready","server":"i-9"}`, service)
+	}
+	tests := []struct {
+		name      string
+		rewritten int
+	}{
+		{"the counter is behind", 0},
+		{"the counter is at the same version", 3},
+		{"the counter is ahead", 8},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFleet(t, 0, nil)
+			f.store.Put(directory.Table, "changed", row("old"))
+			before := f.store.Copy()
+			f.store.Put(directory.Table, "changed", row("new"))
+			f.store.Put(directory.Table, "added", row("new"))
+			f.store.Put("other", "0", []byte("lost"))
+			has := func(id, service string) func() bool {
+				return func() bool {
+					for _, m := range f.members {
+						if m.serviceOf(id) != lagoonbarrow.ServiceName(service) {
+							return false
+						}
+					}
+					return true
+				}
+			}
+			f.waitFor("the row is known", has("added", "new"))
+			time.Sleep(pollBound)
+			f.restore(before)
+			for i := range test.rewritten {
+				f.store.Put("other", fmt.Sprint(i), []byte("new"))
+			}
+			f.within(2*applyBound, "the changed row is as in the copy", has("changed", "old"))
+			f.within(2*applyBound, "the added row is gone", has("added", ""))
+		})
+	}
+}
+
+// serviceOf returns the service of an instance as the member knows it, or "".
+func (m *member) serviceOf(id string) lagoonbarrow.ServiceName {
+	for _, instance := range m.sidecar.directory.All() {
+		if instance.ID == lagoonbarrow.InstanceID(id) {
+			return instance.Service
+		}
+	}
+	return ""
+}
+
+// Guards against a node that believes its last write to be in the store after a restore
+// has brought back its row in an earlier state.
+func TestOwnRowIsWrittenAgainAfterARestore(t *testing.T) {
+	tests := []struct {
+		name      string
+		rewritten int
+	}{
+		{"the counter is behind", 0},
+		{"the counter is ahead", 8},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFleet(t, 0, nil)
+			m := f.members[0]
+			before := f.store.Copy()
+			m.server.SetState("draining")
+			if err := m.server.SendHeartbeat(m.sidecar.settings.HeartbeatAddress); err != nil {
+				t.Fatal(err)
+			}
+			published := func() bool {
+				for _, other := range f.members[1:] {
+					if len(other.sidecar.directory.Instances("alpha")) != 1 {
+						return false
+					}
+				}
+				return true
+			}
+			f.waitFor("the leaving is known", published)
+			time.Sleep(pollBound)
+			f.restore(before)
+			for i := range test.rewritten {
+				f.store.Put("other", fmt.Sprint(i), []byte("new"))
+			}
+			time.Sleep(2 * applyBound)
+			var left bool
+			if server, err := directory.DecodeServer(lagoonbarrow.Row{Value: f.store.Value(directory.Table, "node-0")}); err == nil {
+				left = server.Left
+			}
+			if !left || !published() {
+				t.Errorf("the row says that the server leaves: %t; the other nodes know it: %t", left, published())
+			}
+		})
+	}
+}
+
+// restart ends the sidecar of a member and starts another one beside its server.
+func (f *fleet) restart(m *member) {
+	f.t.Helper()
+	settings := m.sidecar.settings
+	m.sidecar.close()
+	m.sidecar = f.startAs(settings.Instance, string(settings.Service), m.server.Address())
+	f.waitFor("a heartbeat is accepted", func() bool { return m.server.SendHeartbeat(m.sidecar.settings.HeartbeatAddress) == nil })
+	f.waitFor("the sidecar is ready", m.ready)
+}
+
+// Guards against a process that starts before the operator has written the last
+// configuration again, and serves by an older one than its peers.
+func TestProcessStartedAfterARestoreServesByTheConfigurationOfItsPeers(t *testing.T) {
+	f := newFleet(t, 0, nil)
+	before := f.store.Copy()
+	f.configure("beta")
+	f.waitFor("the change is in force on all nodes", f.inForce)
+	f.restore(before)
+	f.restart(f.members[0])
+	f.within(applyBound, "the lost change is in force on the new process", f.inForce)
+}
+
+// Guards against a process that starts after a restore has lost the key of the nodes, and
+// makes another one.
+func TestProcessStartedAfterARestoreHasTheKeyOfItsPeers(t *testing.T) {
+	f := newFleet(t, 0, nil)
+	key := f.store.Value(keyTable, keyRow)
+	f.store.Remove(keyTable, keyRow)
+	f.restore(f.store.Copy())
+	f.restart(f.members[0])
+	if string(f.store.Value(keyTable, keyRow)) != string(key) {
+		t.Error("the store has another key than before the restore")
+	}
+	attempt := 0
+	f.within(applyBound, "a request through the new process reaches another node", func() bool {
+		attempt++
+		return f.members[0].send("POST", "/file/x", fmt.Sprint(attempt)).status == 200
+	})
+}
