Keep versions of the store from before and after a restore apart

Cause: a version was a number of the store's counter, and all code took the higher number for the newer state. A restored store gives its numbers out again. With the counter at or above a node's version the node was told of no lost history and asked for changes after a number that the change was below; with the counter below it, the copies of tables kept their old content because its number was higher, so they were never confirmed again, and each read lost the history again at once.

Change: a version holds the store's era above its number, so versions of a later era are the higher ones for all code that compares them. The new package era doesn't use responses of an earlier era, reports a lost history when the era has changed since the version asked for, and takes no write across a restore for done. A copy of a table answers queries across a restore with what has changed, unless the asking node has seen more of the earlier era. Why it works: a number is never compared with one of another era. Event 702 reports each restore.

Ruled out: a response of the outage that holds up the next call (the nodes do read the store after each restore).

--- a/ids.go
+++ b/ids.go
@@ -56,10 +56,37 @@
 // ContractVersion counts the accepted changes of one customer's contract.
 type ContractVersion uint64
 
+// Era counts how often the platform's store was restored from an older copy. A store that
+// doesn't count it is always in era 0.
+type Era uint16
+
 // RowVersion is the version of a row in the platform's table; 0 means that
-// the row does not exist.
+// the row does not exist. It holds the store's era and the number that the store has given
+// out in it. A restored store gives out numbers again, so that only a later era makes its
+// versions the higher ones.
 type RowVersion uint64
 
+// rowNumberBits is the number of low bits of a RowVersion that hold the store's number.
+const rowNumberBits = 48
+
+// MaxRowNumber is the highest number of a RowVersion.
+const MaxRowNumber = 1<<rowNumberBits - 1
+
+// NewRowVersion returns the version with a number, of at most MaxRowNumber, of an era.
+func NewRowVersion(era Era, number uint64) RowVersion {
+	return RowVersion(uint64(era)<<rowNumberBits | number&MaxRowNumber)
+}
+
+// Era returns the era in which the store had this version.
+func (v RowVersion) Era() Era {
+	return Era(v >> rowNumberBits)
+}
+
+// Number returns the number that the store has given out.
+func (v RowVersion) Number() uint64 {
+	return uint64(v) & MaxRowNumber
+}
+
 // Tokens counts the additional attempts that a request may still make.
 type Tokens int
 
--- a/internal/process/feed/cache.go
+++ b/internal/process/feed/cache.go
@@ -4,6 +4,7 @@
 package feed
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -36,13 +37,28 @@
 	// startVersion is the version up to which deletions are not known: that of the first
 	// copy of the table, or of the last deletion that was forgotten.
 	startVersion lagoonbarrow.RowVersion
-	version      lagoonbarrow.RowVersion
+	// restored holds the versions of which the copy knows nothing because the store was
+	// restored from an older copy of its own.
+	restored versionGap
+	version  lagoonbarrow.RowVersion
 	// confirmedAt is the latest time at which version was the newest of the store.
 	confirmedAt time.Time
 	// updated is closed and replaced when rows change or the version is confirmed again.
 	updated chan struct{}
 }
 
+// versionGap is the versions between the last one of an era that a copy has seen and the
+// first one of the next era. Another node may have seen more of the earlier era.
+type versionGap struct {
+	after  lagoonbarrow.RowVersion
+	before lagoonbarrow.RowVersion
+}
+
+// contains reports whether a version lies in the gap.
+func (g versionGap) contains(version lagoonbarrow.RowVersion) bool {
+	return g.after < version && version < g.before
+}
+
 // NewCache returns an empty cache.
 func NewCache() *Cache {
 	return &Cache{
@@ -82,10 +98,20 @@
 	return true
 }
 
+// rows returns the rows of the copy of a table and its version.
+func (c *Cache) rows(table string) ([]lagoonbarrow.Row, lagoonbarrow.RowVersion) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	current := c.tables[table]
+	return slices.Collect(maps.Values(current.rows)), current.version
+}
+
 // inheritHistory adds the deletions that the previous copy knows, and those of its rows
 // that this copy lacks.
 func (t *tableCopy) inheritHistory(previous *tableCopy) {
 	t.startVersion = previous.startVersion
+	t.restored = previous.restored
+	t.noteRestore(previous.version)
 	for key, deletedAt := range previous.deleted {
 		if _, exists := t.rows[key]; !exists {
 			t.deleted[key] = deletedAt
@@ -99,6 +125,19 @@
 	t.forgetDeletions()
 }
 
+// noteRestore notes the gap if the copy's version is of a later era than the previous one.
+// The copy knows the changes since one earlier era at most.
+func (t *tableCopy) noteRestore(previous lagoonbarrow.RowVersion) {
+	if previous.Era() == t.version.Era() {
+		return
+	}
+	t.startVersion = max(t.startVersion, t.restored.before)
+	t.restored = versionGap{
+		after:  previous,
+		before: t.version,
+	}
+}
+
 // forgetDeletions drops the older half of the deletions when there are too many.
 func (t *tableCopy) forgetDeletions() {
 	if len(t.deleted) <= maxDeletions {
@@ -123,7 +162,9 @@
 	for _, change := range changes {
 		current.apply(change)
 	}
+	previous := current.version
 	current.version = version
+	current.noteRestore(previous)
 	confirmedAt := c.now().Add(-age)
 	confirmed := confirmedAt.After(current.confirmedAt)
 	if confirmed {
@@ -185,7 +226,7 @@
 	}
 	found := changeSet{
 		hasCopy:     true,
-		historyLost: version < current.startVersion,
+		historyLost: version < current.startVersion || current.restored.contains(version),
 		version:     current.version,
 		age:         c.now().Sub(current.confirmedAt),
 		confirmedAt: current.confirmedAt,
@@ -211,7 +252,7 @@
 		}
 	}
 	slices.SortFunc(found.changes, func(a, b lagoonbarrow.Change) int {
-		return int(int64(a.Row.Version) - int64(b.Row.Version))
+		return cmp.Compare(a.Row.Version, b.Row.Version)
 	})
 	return found
 }
--- a/internal/process/feed/cache_test.go
+++ b/internal/process/feed/cache_test.go
@@ -84,14 +84,7 @@
 		if test.lost {
 			continue
 		}
-		var changed, deleted []string
-		for _, change := range found.changes {
-			if change.Deleted {
-				deleted = append(deleted, change.Row.Key)
-				continue
-			}
-			changed = append(changed, change.Row.Key)
-		}
+		changed, deleted := changedKeys(found.changes)
 		if !slices.Equal(changed, test.changed) || !slices.Equal(deleted, test.deleted) {
 			t.Errorf("after %d: changed %v, deleted %v, want %v and %v", test.after, changed, deleted, test.changed, test.deleted)
 		}
@@ -131,3 +124,140 @@
 		t.Errorf("history lost %t, %d changes, want 100", recent.historyLost, len(recent.changes))
 	}
 }
+
+// Guards against nodes that keep rows which a restore of the store has removed, because
+// their copy and that of the reader ended at different versions before it.
+func TestChangesAcrossARestoreAreCompleteOrLost(t *testing.T) {
+	row := func(key string, era lagoonbarrow.Era, number uint64) lagoonbarrow.Row {
+		return lagoonbarrow.Row{
+			Table:   tableName,
+			Key:     key,
+			Version: lagoonbarrow.NewRowVersion(era, number),
+		}
+	}
+	type read struct {
+		rows    []lagoonbarrow.Row
+		version lagoonbarrow.RowVersion
+	}
+	first := read{
+		rows:    []lagoonbarrow.Row{row("kept", 1, 3), row("removed", 1, 8)},
+		version: lagoonbarrow.NewRowVersion(1, 10),
+	}
+	second := read{
+		rows:    []lagoonbarrow.Row{row("kept", 2, 3), row("added", 2, 9)},
+		version: lagoonbarrow.NewRowVersion(2, 9),
+	}
+	third := read{
+		rows:    []lagoonbarrow.Row{row("kept", 3, 3)},
+		version: lagoonbarrow.NewRowVersion(3, 5),
+	}
+	tests := []struct {
+		name    string
+		reads   []read
+		after   lagoonbarrow.RowVersion
+		lost    bool
+		changed []string
+		deleted []string
+	}{
+		{
+			name:    "at the copy's last version",
+			reads:   []read{first, second},
+			after:   lagoonbarrow.NewRowVersion(1, 10),
+			changed: []string{"kept", "added"},
+			deleted: []string{"removed"},
+		},
+		{
+			name:  "before the first copy",
+			reads: []read{first, second},
+			after: lagoonbarrow.NewRowVersion(1, 9),
+			lost:  true,
+		},
+		{
+			name:  "beyond the copy's last version",
+			reads: []read{first, second},
+			after: lagoonbarrow.NewRowVersion(1, 11),
+			lost:  true,
+		},
+		{
+			name:  "in the new era, before the first read",
+			reads: []read{first, second},
+			after: lagoonbarrow.NewRowVersion(2, 8),
+			lost:  true,
+		},
+		{
+			name:  "at the first read of the new era",
+			reads: []read{first, second},
+			after: lagoonbarrow.NewRowVersion(2, 9),
+		},
+		{
+			name:  "two eras ago",
+			reads: []read{first, second, third},
+			after: lagoonbarrow.NewRowVersion(1, 10),
+			lost:  true,
+		},
+		{
+			name:    "one era ago",
+			reads:   []read{first, second, third},
+			after:   lagoonbarrow.NewRowVersion(2, 9),
+			changed: []string{"kept"},
+			deleted: []string{"added"},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			cache := NewCache()
+			for _, read := range test.reads {
+				if !cache.Replace(tableName, read.rows, read.version, 0) {
+					t.Fatalf("the rows of version %d were not used", read.version)
+				}
+			}
+			checkChanges(t, cache, test.after, test.lost, test.changed, test.deleted)
+			// A node that follows the reader passes on the same.
+			follower := NewCache()
+			follower.Replace(tableName, test.reads[0].rows, test.reads[0].version, 0)
+			for i := 1; i < len(test.reads); i++ {
+				reader := NewCache()
+				for _, read := range test.reads[:i+1] {
+					reader.Replace(tableName, read.rows, read.version, 0)
+				}
+				found := reader.changesAfter(tableName, follower.changesAfter(tableName, 0).version)
+				follower.Apply(tableName, found.changes, found.version, 0)
+			}
+			checkChanges(t, follower, test.after, test.lost, test.changed, test.deleted)
+		})
+	}
+	cache := NewCache()
+	cache.Replace(tableName, second.rows, second.version, 0)
+	if cache.Replace(tableName, first.rows, first.version, 0) {
+		t.Error("rows from before the restore replaced later ones")
+	}
+}
+
+// checkChanges fails unless the cache has these changes after a version, or none if the
+// history is lost.
+func checkChanges(t *testing.T, cache *Cache, after lagoonbarrow.RowVersion, lost bool, wantChanged, wantDeleted []string) {
+	t.Helper()
+	found := cache.changesAfter(tableName, after)
+	if found.historyLost != lost {
+		t.Errorf("history lost %t, want %t", found.historyLost, lost)
+	}
+	if lost {
+		return
+	}
+	changed, deleted := changedKeys(found.changes)
+	if !slices.Equal(changed, wantChanged) || !slices.Equal(deleted, wantDeleted) {
+		t.Errorf("changed %v, deleted %v, want %v and %v", changed, deleted, wantChanged, wantDeleted)
+	}
+}
+
+// changedKeys returns the keys of the changed and of the deleted rows.
+func changedKeys(changes []lagoonbarrow.Change) (changed, deleted []string) {
+	for _, change := range changes {
+		if change.Deleted {
+			deleted = append(deleted, change.Row.Key)
+			continue
+		}
+		changed = append(changed, change.Row.Key)
+	}
+	return changed, deleted
+}
--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -72,19 +72,23 @@
 	}
 }
 
-// Rows returns all rows of a table from the store. Nodes read all rows at their start
-// and after they lost the history, when their list of the other nodes is outdated.
+// Rows returns all rows of a table from the store, or from this node's copy if that is
+// newer. Nodes read all rows at their start and after they lost the history, when their
+// list of the other nodes is outdated.
 func (f *Feed) Rows(ctx context.Context, table string) ([]lagoonbarrow.Row, lagoonbarrow.RowVersion, error) {
 	response := f.callTwice(ctx, 0, func(ctx context.Context, _ time.Duration) storeResponse {
 		return f.readRows(ctx, table)
 	})
-	if response.err == nil {
-		f.recordStoreSuccess()
-		if !f.config.Cache.Replace(table, response.rows, response.version, response.age) {
-			f.config.Logger.Warn("the store's rows are older than the copy of the table", "table", table, "version", response.version)
-		}
+	if response.err != nil {
+		return nil, 0, response.err
+	}
+	f.recordStoreSuccess()
+	if !f.config.Cache.Replace(table, response.rows, response.version, response.age) {
+		f.config.Logger.Warn("the store's rows are older than the copy of the table", "table", table, "version", response.version)
+		rows, version := f.config.Cache.rows(table)
+		return rows, version, nil
 	}
-	return response.rows, response.version, response.err
+	return response.rows, response.version, nil
 }
 
 // storeUsable reports whether the store may be called again after a failed call.
--- a/internal/process/feed/fleet_test.go
+++ b/internal/process/feed/fleet_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -18,7 +20,9 @@
 
 // fakeStore is a store with one table. It counts calls.
 type fakeStore struct {
-	mu      sync.Mutex
+	mu sync.Mutex
+	// era counts the restores.
+	era     lagoonbarrow.Era
 	version lagoonbarrow.RowVersion
 	history []lagoonbarrow.Change
 	// putAt holds the time of each version.
@@ -28,6 +32,14 @@
 	calls          int
 	down           bool
 	changed        chan struct{}
+	// contents holds the rows after each change or restore.
+	contents []storeContent
+}
+
+// storeContent is the rows of a store since a time.
+type storeContent struct {
+	since time.Time
+	rows  string
 }
 
 func newFakeStore() *fakeStore {
@@ -46,14 +58,81 @@
 			Table:   tableName,
 			Key:     key,
 			Version: s.version,
-			Value:   []byte(fmt.Sprint(s.version)),
+			Value:   []byte(fmt.Sprint(len(s.contents))),
 		},
 		Deleted: deleted,
 	})
+	s.recordContent()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// restore replaces the rows by those of a time ago. The versions since are given out again.
+func (s *fakeStore) restore(ago time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count, _ := slices.BinarySearchFunc(s.putAt, time.Now().Add(-ago), time.Time.Compare)
+	s.era++
+	s.version = lagoonbarrow.RowVersion(count)
+	s.history = s.history[:count:count]
+	s.putAt = s.putAt[:count:count]
+	s.droppedVersion = min(s.droppedVersion, s.version)
+	s.recordContent()
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+// recordContent records the present rows. The caller holds the mutex.
+func (s *fakeStore) recordContent() {
+	s.contents = append(s.contents, storeContent{
+		since: time.Now(),
+		rows:  describe(s.rows()),
+	})
+}
+
+// hadSince reports whether the store has had these rows at a time or later.
+func (s *fakeStore) hadSince(start time.Time, rows string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, content := range slices.Backward(s.contents) {
+		if content.rows == rows {
+			return true
+		}
+		if content.since.Before(start) {
+			return false
+		}
+	}
+	return rows == describe(nil)
+}
+
+// rows returns the rows by key. The caller holds the mutex.
+func (s *fakeStore) rows() map[string]lagoonbarrow.Row {
+	rows := map[string]lagoonbarrow.Row{}
+	for _, change := range s.history {
+		delete(rows, change.Row.Key)
+		if !change.Deleted {
+			rows[change.Row.Key] = s.inEra(change).Row
+		}
+	}
+	return rows
+}
+
+// inEra returns a change with its version in the present era. The caller holds the mutex.
+func (s *fakeStore) inEra(change lagoonbarrow.Change) lagoonbarrow.Change {
+	change.Row.Version = lagoonbarrow.NewRowVersion(s.era, change.Row.Version.Number())
+	return change
+}
+
+// describe returns the keys and values of rows.
+func describe(rows map[string]lagoonbarrow.Row) string {
+	var text []string
+	for key, row := range rows {
+		text = append(text, key+"="+string(row.Value))
+	}
+	slices.Sort(text)
+	return strings.Join(text, " ")
+}
+
 func (s *fakeStore) currentVersion() lagoonbarrow.RowVersion {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -96,18 +175,7 @@
 	if s.down {
 		return nil, 0, lagoonbarrow.ErrUnavailable
 	}
-	rows := map[string]lagoonbarrow.Row{}
-	for _, change := range s.history {
-		delete(rows, change.Row.Key)
-		if !change.Deleted {
-			rows[change.Row.Key] = change.Row
-		}
-	}
-	var all []lagoonbarrow.Row
-	for _, row := range rows {
-		all = append(all, row)
-	}
-	return all, s.version, nil
+	return slices.Collect(maps.Values(s.rows())), lagoonbarrow.NewRowVersion(s.era, s.version.Number()), nil
 }
 
 func (s *fakeStore) Changes(ctx context.Context, _ string, after lagoonbarrow.RowVersion, wait time.Duration) ([]lagoonbarrow.Change, lagoonbarrow.RowVersion, error) {
@@ -120,16 +188,17 @@
 		s.mu.Lock()
 		var found []lagoonbarrow.Change
 		for _, change := range s.history {
-			if change.Row.Version > after {
-				found = append(found, change)
+			if change.Row.Version.Number() > after.Number() {
+				found = append(found, s.inEra(change))
 			}
 		}
-		version, changed, down, dropped := s.version, s.changed, s.down, s.droppedVersion
+		version, changed, down := lagoonbarrow.NewRowVersion(s.era, s.version.Number()), s.changed, s.down
+		lost := after.Number() < s.droppedVersion.Number() || after.Number() > s.version.Number()
 		s.mu.Unlock()
 		if down {
 			return nil, 0, lagoonbarrow.ErrUnavailable
 		}
-		if after < dropped {
+		if lost {
 			return nil, 0, lagoonbarrow.ErrHistoryLost
 		}
 		if len(found) > 0 || wait <= 0 {
--- a/internal/process/feed/property_test.go
+++ b/internal/process/feed/property_test.go
@@ -47,6 +47,8 @@
 	nextChange time.Time
 	// unstableUntil is when the last fault of the store itself ends.
 	unstableUntil time.Time
+	// nextRestore is when the store goes away to be restored, or zero for never.
+	nextRestore time.Time
 }
 
 type scheduledEnd struct {
@@ -74,13 +76,44 @@
 		s.nextFault = now.Add(s.between(200*time.Millisecond, 8*time.Second))
 		s.beginFault(now)
 	}
+	if !s.nextRestore.IsZero() && !now.Before(s.nextRestore) {
+		s.nextRestore = now.Add(s.between(2*time.Second, 20*time.Second))
+		s.beginRestore(now)
+	}
 	if !now.Before(s.nextChange) {
 		s.nextChange = now.Add(s.between(50*time.Millisecond, 5*time.Second))
-		s.store.put("a", false)
+		s.change()
 		s.logf("change %d", s.store.currentVersion())
 	}
 }
 
+// change puts a random row, or deletes it. Without restores there is only one row.
+func (s *faultSchedule) change() {
+	if s.nextRestore.IsZero() {
+		s.store.put("a", false)
+		return
+	}
+	s.store.put([]string{"a", "b", "c"}[s.intN(3)], s.intN(4) == 0)
+}
+
+// beginRestore takes the store away from all nodes, and brings it back from an older copy.
+func (s *faultSchedule) beginRestore(now time.Time) {
+	end := now.Add(s.between(50*time.Millisecond, 3*time.Second))
+	ago := s.between(0, 15*time.Second)
+	fault := []nodeFault{faultStoreCut, faultStoreRefuses}[s.intN(2)]
+	for i := range s.nodes {
+		s.beginNodeFault(i, fault, end)
+	}
+	if end.After(s.unstableUntil) {
+		s.unstableUntil = end
+	}
+	s.logf("the store is restored at %s from a copy %s old", end.Sub(s.started), ago)
+	s.ends = append(s.ends, scheduledEnd{
+		at:  end,
+		end: func() { s.store.restore(ago) },
+	})
+}
+
 // beginFault begins a random fault of some nodes, of links or of the store.
 func (s *faultSchedule) beginFault(now time.Time) {
 	end := now.Add(s.between(300*time.Millisecond, 8*time.Second))
@@ -154,13 +187,39 @@
 	}
 }
 
+// Guards against rows that a node keeps or misses after the store was restored from an older
+// copy, once or several times, beside the faults above.
+func TestPropertyRowsFollowRestores(t *testing.T) {
+	for _, seed := range seeds() {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { checkRestores(t, seed) })
+		})
+	}
+}
+
+func checkRestores(t *testing.T, seed uint64) {
+	s := newFaultSchedule(seed)
+	s.nextRestore = time.Now().Add(5 * time.Second)
+	s.run(func() { s.checkRows(t) })
+}
+
 func checkRandomFaults(t *testing.T, seed uint64) {
-	s := &faultSchedule{
+	s := newFaultSchedule(seed)
+	s.run(func() { s.checkVersions(t) })
+}
+
+func newFaultSchedule(seed uint64) *faultSchedule {
+	return &faultSchedule{
 		simulation: newSimulation(seed, 10, 2),
 		started:    time.Now(),
 		nextFault:  time.Now().Add(5 * time.Second),
 		nextChange: time.Now(),
 	}
+}
+
+// run starts the nodes and plays the schedule. It calls check whenever the store has worked
+// for recoveryBound.
+func (s *faultSchedule) run(check func()) {
 	for _, n := range s.nodes {
 		n.start()
 		time.Sleep(s.between(time.Millisecond, 150*time.Millisecond))
@@ -170,8 +229,21 @@
 		s.step()
 		time.Sleep(checkInterval)
 		if time.Now().After(s.unstableUntil.Add(recoveryBound)) {
-			s.checkVersions(t)
+			check()
+		}
+	}
+}
+
+// checkRows fails unless all nodes that have worked for recoveryBound have the rows that the
+// store has now, or has had within applyBound.
+func (s *faultSchedule) checkRows(t *testing.T) {
+	t.Helper()
+	for _, n := range s.nodes {
+		if !n.healthyFor(recoveryBound) || s.store.hadSince(time.Now().Add(-applyBound), n.content()) {
+			continue
 		}
+		s.logf("%s has the rows %q", memberID(n.index), n.content())
+		s.fail(t, n)
 	}
 }
 
@@ -183,7 +255,13 @@
 	for _, n := range s.nodes {
 		if n.healthyFor(recoveryBound) && n.version() < want {
 			s.logf("%s has version %d, not %d", memberID(n.index), n.version(), want)
-			t.Fatalf("%s\nlog of %s, whose time begins at %s:\n%s", strings.Join(s.lines, "\n"), memberID(n.index), s.started, n.log.String())
+			s.fail(t, n)
 		}
 	}
 }
+
+// fail ends the test with what has happened and the log of a node.
+func (s *faultSchedule) fail(t *testing.T, n *simulatedNode) {
+	t.Helper()
+	t.Fatalf("%s\nlog of %s, whose time begins at %s:\n%s", strings.Join(s.lines, "\n"), memberID(n.index), s.started, n.log.String())
+}
--- a/internal/process/feed/simulation_test.go
+++ b/internal/process/feed/simulation_test.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/process/era"
 	"lagoonbarrow/internal/process/follower"
 )
 
@@ -95,6 +96,8 @@
 	cache        *Cache
 	handler      *Handler
 	follower     *follower.Follower
+	// rows is what the process was told of the table.
+	rows map[string]lagoonbarrow.Row
 	// log holds the lines of all processes of the node.
 	log    bytes.Buffer
 	logger hclog.Logger
@@ -196,9 +199,11 @@
 // newFeed returns a feed of the node without any copy.
 func (n *simulatedNode) newFeed() *Feed {
 	return New(Config{
-		Self:    memberID(n.index),
-		Zone:    n.simulation.members()[n.index].Zone,
-		Store:   simulatedStore{node: n},
+		Self: memberID(n.index),
+		Zone: n.simulation.members()[n.index].Zone,
+		Store: era.NewStore(era.Config{
+			Store: simulatedStore{node: n},
+		}),
 		Members: n.simulation.members,
 		Sender:  simulatedSender{node: n},
 		Cache:   NewCache(),
@@ -213,11 +218,12 @@
 		Feed:        feed,
 		Table:       tableName,
 		PollTimeout: boundWait,
-		Replace:     func([]lagoonbarrow.Row) {},
-		Apply:       func([]lagoonbarrow.Change) {},
+		Replace:     n.replaceRows,
+		Apply:       n.applyChanges,
 		Logger:      n.logger,
 	})
 	n.mu.Lock()
+	n.rows = nil
 	n.cache = feed.config.Cache
 	n.handler = &Handler{
 		Cache: feed.config.Cache,
@@ -228,6 +234,33 @@
 	f.Start()
 }
 
+func (n *simulatedNode) replaceRows(rows []lagoonbarrow.Row) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.rows = map[string]lagoonbarrow.Row{}
+	for _, row := range rows {
+		n.rows[row.Key] = row
+	}
+}
+
+func (n *simulatedNode) applyChanges(changes []lagoonbarrow.Change) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, change := range changes {
+		delete(n.rows, change.Row.Key)
+		if !change.Deleted {
+			n.rows[change.Row.Key] = change.Row
+		}
+	}
+}
+
+// content returns what the process was told of the table.
+func (n *simulatedNode) content() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return describe(n.rows)
+}
+
 // stop ends the node's process.
 func (n *simulatedNode) stop() {
 	n.mu.Lock()
@@ -411,6 +444,11 @@
 	return changes, version, err
 }
 
+// Put implements lagoonbarrow.RowStore. The nodes of a simulation write no rows.
+func (s simulatedStore) Put(context.Context, lagoonbarrow.Write) (lagoonbarrow.RowVersion, error) {
+	return 0, lagoonbarrow.ErrUnavailable
+}
+
 // begin sends a call to the store. The returned function receives its response. A call
 // whose connection broke gets none, and fails at its time limit.
 func (s simulatedStore) begin(ctx context.Context, wait time.Duration) (end func() error, err error) {
--- a/internal/process/sidecar/restore_test.go
+++ b/internal/process/sidecar/restore_test.go
@@ -68,9 +68,20 @@
 		lost      int
 		rewritten int
 	}{
-		{"the counter is behind", 5, 0},
-		{"the counter is at the same version", 3, 2},
-		{"the counter is ahead", 3, 6},
+		{
+			name: "the counter is behind",
+			lost: 5,
+		},
+		{
+			name:      "the counter is at the same version",
+			lost:      3,
+			rewritten: 2,
+		},
+		{
+			name:      "the counter is ahead",
+			lost:      3,
+			rewritten: 6,
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -98,7 +109,9 @@
 	before := f.store.Copy()
 	f.loseWrites(50)
 	f.restore(before)
-	calls := func() int { return f.store.Calls("/rows-get") + f.store.Calls("/rows-feed") + f.store.Calls("/rows-tx") }
+	calls := func() int {
+		return f.store.Calls("/rows-get") + f.store.Calls("/rows-feed") + f.store.Calls("/rows-tx")
+	}
 	first := calls()
 	time.Sleep(length)
 	made := calls() - first
@@ -117,9 +130,17 @@
 		name      string
 		rewritten int
 	}{
-		{"the counter is behind", 0},
-		{"the counter is at the same version", 3},
-		{"the counter is ahead", 8},
+		{
+			name: "the counter is behind",
+		},
+		{
+			name:      "the counter is at the same version",
+			rewritten: 3,
+		},
+		{
+			name:      "the counter is ahead",
+			rewritten: 8,
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -168,8 +189,13 @@
 		name      string
 		rewritten int
 	}{
-		{"the counter is behind", 0},
-		{"the counter is ahead", 8},
+		{
+			name: "the counter is behind",
+		},
+		{
+			name:      "the counter is ahead",
+			rewritten: 8,
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -13,6 +13,7 @@
 	"lagoonbarrow"
 	"lagoonbarrow/internal/connection/peer"
 	"lagoonbarrow/internal/process/directory"
+	"lagoonbarrow/internal/process/era"
 	"lagoonbarrow/internal/process/feed"
 	"lagoonbarrow/internal/process/follower"
 	"lagoonbarrow/internal/process/memory"
@@ -87,6 +88,8 @@
 type Sidecar struct {
 	config   Config
 	settings lagoonbarrow.SidecarSettings
+	// store is the platform's store, with the versions of its eras kept apart.
+	store *era.Store
 
 	metrics              *metrics.Metrics
 	timeline             *timeline.Timeline
@@ -160,12 +163,16 @@
 // buildState builds the parts that hold the routes, the instances and the state of
 // the backend server.
 func (s *Sidecar) buildState() {
+	s.store = era.NewStore(era.Config{
+		Store:      s.config.Store,
+		OnRestored: s.storeRestored,
+	})
 	s.routes = routing.NewRegistry()
 	s.chooser = placement.New(placement.Config{
 		Zone: s.settings.Zone,
 	})
 	s.rowWriter = registration.NewRowWriter(registration.RowWriterConfig{
-		Store:  s.config.Store,
+		Store:  s.store,
 		Table:  directory.Table,
 		Key:    string(s.settings.Instance),
 		Logger: s.config.Logger.Named("row"),
@@ -194,7 +201,7 @@
 	})
 	s.rowRemover = registration.NewRowRemover(registration.RowRemoverConfig{
 		Self:    s.settings.Instance,
-		Store:   s.config.Store,
+		Store:   s.store,
 		Table:   directory.Table,
 		Members: s.directory.All,
 		Version: s.directory.Version,
@@ -205,7 +212,7 @@
 	source := feed.New(feed.Config{
 		Self:    s.settings.Instance,
 		Zone:    s.settings.Zone,
-		Store:   s.config.Store,
+		Store:   s.store,
 		Members: s.directory.All,
 		Sender:  deferredTransport{sidecar: s},
 		Cache:   s.tableCache,
@@ -266,7 +273,7 @@
 		Recorder:       s.timeline,
 	})
 	s.peerKey = &peerKeyLoader{
-		store:  s.config.Store,
+		store:  s.store,
 		logger: s.config.Logger.Named("peer-key"),
 	}
 	return nil
--- a/pkg/event/catalogue_platform.go
+++ b/pkg/event/catalogue_platform.go
@@ -14,9 +14,16 @@
 		Name:    "platform-up",
 		Meaning: "the platform's table answers again",
 	}
+	// StoreRestored: the platform's store came back from an older copy.
+	StoreRestored = Kind{
+		Number:  702,
+		Name:    "store-restored",
+		Meaning: "the platform's store came back from an older copy",
+	}
 )
 
 var platformKinds = []Kind{
 	PlatformDown,
 	PlatformUp,
+	StoreRestored,
 }
