Don't write a node's row again that a restore has not changed

Cause: a row with another version than that of the node's last write was always written again.

Change: the row writer is given the row as it is in the store and compares its value with the wanted one.

--- a/internal/process/registration/row.go
+++ b/internal/process/registration/row.go
@@ -30,15 +30,15 @@
 
 	mu     sync.Mutex
 	wanted []byte
-	// written is the value of the last successful write, and version its version.
+	// written is the last known value of the row in the store, and version its version.
 	written []byte
 	version lagoonbarrow.RowVersion
-	// versionKnown is set after the first call of ObserveVersion.
+	// versionKnown is set after the first call of ObserveRow.
 	versionKnown bool
 }
 
 // NewRowWriter returns a writer that writes nothing before the first calls of SetValue
-// and ObserveVersion.
+// and ObserveRow.
 func NewRowWriter(config RowWriterConfig) *RowWriter {
 	return &RowWriter{
 		config: config,
@@ -65,15 +65,15 @@
 	w.signal()
 }
 
-// ObserveVersion records the version of the row in the store, 0 if the row does not
-// exist.
-func (w *RowWriter) ObserveVersion(version lagoonbarrow.RowVersion) {
+// ObserveRow records the row as it is in the store; its version is 0 if it does not exist.
+// An older version than the last known one is ignored.
+func (w *RowWriter) ObserveRow(row lagoonbarrow.Row) {
 	w.mu.Lock()
-	if version != w.version && (version > w.version || version == 0) {
-		// Another writer, an earlier process of this node, or a late write of this node
-		// has changed the row.
-		w.written = nil
-		w.version = version
+	if row.Version > w.version || row.Version == 0 {
+		// Another writer, an earlier process of this node, a late write of this node or a
+		// restore of the store may have changed the row.
+		w.written = row.Value
+		w.version = row.Version
 	}
 	w.versionKnown = true
 	w.mu.Unlock()
@@ -153,5 +153,5 @@
 			return
 		}
 	}
-	w.ObserveVersion(0)
+	w.ObserveRow(lagoonbarrow.Row{})
 }
--- a/internal/process/registration/row_test.go
+++ b/internal/process/registration/row_test.go
@@ -70,7 +70,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			writer, server := startRowWriter(t)
 			server.SetFaults(test.faults)
-			writer.ObserveVersion(0)
+			writer.ObserveRow(lagoonbarrow.Row{})
 			writer.SetValue([]byte("first"))
 			time.Sleep(150 * time.Millisecond)
 			writer.SetValue([]byte("second"))
@@ -87,14 +87,17 @@
 // Guards against a row that keeps the change or removal of another writer.
 func TestRowIsRestored(t *testing.T) {
 	writer, server := startRowWriter(t)
-	writer.ObserveVersion(0)
+	writer.ObserveRow(lagoonbarrow.Row{})
 	writer.SetValue([]byte("value"))
 	awaitRow(t, server, "value")
 	version := server.Put("table", "own", []byte("forged"))
-	writer.ObserveVersion(lagoonbarrow.RowVersion(version))
+	writer.ObserveRow(lagoonbarrow.Row{
+		Version: lagoonbarrow.NewRowVersion(1, version),
+		Value:   []byte("forged"),
+	})
 	awaitRow(t, server, "value")
 	server.Remove("table", "own")
-	writer.ObserveVersion(0)
+	writer.ObserveRow(lagoonbarrow.Row{})
 	awaitRow(t, server, "value")
 }
 
@@ -121,11 +124,14 @@
 	})
 	writer.Start()
 	defer writer.Stop()
-	writer.ObserveVersion(0)
+	writer.ObserveRow(lagoonbarrow.Row{})
 	for range 20 {
 		writer.SetValue([]byte("value"))
 		time.Sleep(time.Millisecond)
-		writer.ObserveVersion(1)
+		writer.ObserveRow(lagoonbarrow.Row{
+			Version: 1,
+			Value:   []byte("value"),
+		})
 	}
 	store.mu.Lock()
 	defer store.mu.Unlock()
--- a/internal/process/sidecar/restore_test.go
+++ b/internal/process/sidecar/restore_test.go
@@ -271,3 +271,16 @@
 		return f.members[0].send("POST", "/file/x", fmt.Sprint(attempt)).status == 200
 	})
 }
+
+// Guards against a write of each node after a restore that has not changed its row.
+func TestUnchangedRowsAreNotWrittenAfterARestore(t *testing.T) {
+	f := newFleet(t, 0, nil)
+	before := f.store.Copy()
+	f.loseWrites(3)
+	writes := f.store.Calls("/rows-tx")
+	f.restore(before)
+	time.Sleep(2 * applyBound)
+	if made := f.store.Calls("/rows-tx") - writes; made > 0 {
+		t.Errorf("%d writes", made)
+	}
+}
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -408,7 +408,7 @@
 // ownRowRead processes this node's row as it is in the store. The first one read was
 // written by an earlier process, which may have acknowledged that the backend server leaves.
 func (s *Sidecar) ownRowRead(row lagoonbarrow.Row) {
-	s.rowWriter.ObserveVersion(row.Version)
+	s.rowWriter.ObserveRow(row)
 	if s.ownRowKnown.Swap(true) || row.Version == 0 {
 		return
 	}
