Pass the configuration in force on from node to node

What callers saw: a process that starts after the store was restored, and before the operator has written the last change again, serves by the older configuration of the copy, while its peers have the newer one in force.

Cause: versions travel with calls, but the configuration itself came from the store's row only, also for a node that others had told of a newer one.

Ruled out: writing the row again (the store refuses nodes that write the operator's table); waiting for the operator (nothing bounds how long that takes).

--- a/configuration.go
+++ b/configuration.go
@@ -22,6 +22,8 @@
 	Routes   []Route
 	Services []ServiceName
 	Limits   RequestLimits
+	// Encoded is the configuration as the operator wrote it.
+	Encoded []byte
 }
 
 // RouteNames returns the names of all routes.
--- a/internal/process/sidecar/configuration.go
+++ b/internal/process/sidecar/configuration.go
@@ -20,18 +20,24 @@
 	}
 }
 
-// applyConfiguration puts a configuration in force if it is valid and newer.
+// applyConfiguration puts the configuration of a row in force if it is valid and newer.
 func (s *Sidecar) applyConfiguration(row lagoonbarrow.Row) {
-	if row.Key != s.config.Configuration.Key {
-		return
+	if row.Key == s.config.Configuration.Key {
+		s.offerConfiguration(row.Value)
 	}
-	configuration, err := s.config.Configuration.Decode(row.Value)
+}
+
+// offerConfiguration puts a configuration, as the operator wrote it, in force if it is valid
+// and newer.
+func (s *Sidecar) offerConfiguration(encoded []byte) {
+	configuration, err := s.config.Configuration.Decode(encoded)
 	if err != nil {
 		s.timeline.Record(event.ConfigurationRefused, event.Fields{
 			Detail: err.Error(),
 		})
 		return
 	}
+	configuration.Encoded = encoded
 	if s.routes.Offer(configuration) {
 		s.chooser.RetainRoutes(configuration.RouteNames())
 		s.timeline.Record(event.ConfigurationInForce, event.Fields{
@@ -40,7 +46,8 @@
 	}
 }
 
-// observeVersion refreshes the configuration when another node has a newer one.
+// observeVersion refreshes the configuration when another node has a newer one, from the
+// store and from other nodes, as a restored store may not have it.
 func (s *Sidecar) observeVersion(version lagoonbarrow.ConfigurationVersion) {
 	if version <= s.routes.Version() {
 		return
@@ -51,6 +58,7 @@
 		}
 	}
 	s.refreshConfiguration()
+	s.exchange.Request()
 }
 
 // configurationOutdated reports whether another node has a newer configuration.
--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -55,12 +55,13 @@
 		return errors.Wrap(err, "sidecar: start peer server")
 	}
 	s.peerKey.active.Store(true)
+	s.exchange.Start()
 	return nil
 }
 
 // serveReady answers 200 while this node accepts requests.
 func (s *Sidecar) serveReady(ctx *fasthttp.RequestCtx) {
-	if s.stopping.Load() || !s.routes.Ready() || !s.directory.Ready() || !s.peerKey.inUse() {
+	if s.stopping.Load() || !s.routes.Ready() || !s.directory.Ready() || !s.peerKey.inUse() || !s.exchange.Started() {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	}
 }
@@ -185,6 +186,7 @@
 	for _, f := range s.followers {
 		f.Stop()
 	}
+	s.exchange.Stop()
 	s.rowWriter.Stop()
 	s.rowRemover.Stop()
 	for _, listener := range []*controlListener{s.heartbeatListener, s.readinessListener, s.metricsListener} {
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -28,6 +28,7 @@
 	"lagoonbarrow/internal/request/entry"
 	"lagoonbarrow/internal/request/execute"
 	"lagoonbarrow/internal/request/forward"
+	"lagoonbarrow/internal/version/exchange"
 	"lagoonbarrow/internal/version/routing"
 )
 
@@ -114,6 +115,7 @@
 	metricsListener      *controlListener
 	followers            []*follower.Follower
 	refreshConfiguration func()
+	exchange             *exchange.Exchange
 	tableCache           *feed.Cache
 
 	// highestVersion is the highest configuration version received from other nodes.
@@ -228,6 +230,15 @@
 		Logger:       s.config.Logger.Named("configuration"),
 	})
 	s.refreshConfiguration = configuration.Refresh
+	s.exchange = exchange.New(exchange.Config{
+		Self:     s.settings.Instance,
+		Members:  s.knownMembers,
+		Sender:   deferredTransport{sidecar: s},
+		Current:  s.routes.Current,
+		Offer:    s.offerConfiguration,
+		Outdated: s.configurationOutdated,
+		Logger:   s.config.Logger.Named("exchange"),
+	})
 	instances := follower.New(follower.Config{
 		Feed:        source,
 		Table:       directory.Table,
@@ -320,6 +331,9 @@
 	presence := &registration.PresenceHandler{
 		Self: s.settings.Instance,
 	}
+	configurations := &exchange.Handler{
+		Current: s.routes.Current,
+	}
 	handlers := map[string]lagoonbarrow.MessageHandler{}
 	for _, kind := range changes.Kinds() {
 		handlers[kind] = changes
@@ -327,6 +341,9 @@
 	for _, kind := range presence.Kinds() {
 		handlers[kind] = presence
 	}
+	for _, kind := range configurations.Kinds() {
+		handlers[kind] = configurations
+	}
 	return handlers
 }
 
@@ -431,6 +448,11 @@
 	return len(s.directory.Instances(s.settings.Service))
 }
 
+// knownMembers returns all nodes, and whether they were read from the store.
+func (s *Sidecar) knownMembers() ([]lagoonbarrow.Instance, bool) {
+	return s.directory.All(), s.directory.Ready()
+}
+
 func (s *Sidecar) membersChanged(ids map[lagoonbarrow.InstanceID]bool) {
 	s.chooser.RetainInstances(ids)
 }
--- a/internal/version/routing/registry.go
+++ b/internal/version/routing/registry.go
@@ -32,13 +32,23 @@
 	return true
 }
 
+// Current returns the configuration in force, or nil if there is none. It must not be
+// changed.
+func (r *Registry) Current() *lagoonbarrow.Configuration {
+	current := r.current.Load()
+	if current == nil {
+		return nil
+	}
+	return current.configuration
+}
+
 // Version returns the version in force, or 0 if there is none.
 func (r *Registry) Version() lagoonbarrow.ConfigurationVersion {
-	current := r.current.Load()
+	current := r.Current()
 	if current == nil {
 		return 0
 	}
-	return current.configuration.Version
+	return current.Version
 }
 
 // Ready reports whether a configuration is in force.
