Write the key of the nodes again when a restore of the store has lost it

What callers saw: after a restore from a copy that is older than the row with the key, the next process to start makes another key. No node can call it, and it can call none: requests at it fail until all others are restarted.

Cause: the row was taken for lasting; a process that finds none creates one.

Ruled out: adopting the key of the row while running (two halves would swap theirs), and accepting several keys (whoever can write the store could then add one without any node noticing, and old keys would have to be retired).

--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -186,6 +186,7 @@
 	for _, f := range s.followers {
 		f.Stop()
 	}
+	s.restores.Stop()
 	s.exchange.Stop()
 	s.rowWriter.Stop()
 	s.rowRemover.Stop()
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -12,6 +12,7 @@
 
 	"lagoonbarrow"
 	"lagoonbarrow/internal/connection/peer"
+	"lagoonbarrow/internal/process/background"
 	"lagoonbarrow/internal/process/directory"
 	"lagoonbarrow/internal/process/era"
 	"lagoonbarrow/internal/process/feed"
@@ -92,28 +93,30 @@
 	// store is the platform's store, with the versions of its eras kept apart.
 	store *era.Store
 
-	metrics              *metrics.Metrics
-	timeline             *timeline.Timeline
-	routes               *routing.Registry
-	directory            *directory.Directory
-	rowWriter            *registration.RowWriter
-	rowRemover           *registration.RowRemover
-	registration         *registration.Registration
-	gate                 *slots.Gate
-	chooser              *placement.Chooser
-	budget               *retry.Budget
-	bodies               *memory.Limiter
-	peerKey              *peerKeyLoader
-	transport            *peer.Client
-	server               *peer.Server
-	backend              *backend.Client
-	handler              *execute.Handler
-	forwarder            *forward.Forwarder
-	requests             *entry.RoutedListener
-	heartbeatListener    *controlListener
-	readinessListener    *controlListener
-	metricsListener      *controlListener
-	followers            []*follower.Follower
+	metrics           *metrics.Metrics
+	timeline          *timeline.Timeline
+	routes            *routing.Registry
+	directory         *directory.Directory
+	rowWriter         *registration.RowWriter
+	rowRemover        *registration.RowRemover
+	registration      *registration.Registration
+	gate              *slots.Gate
+	chooser           *placement.Chooser
+	budget            *retry.Budget
+	bodies            *memory.Limiter
+	peerKey           *peerKeyLoader
+	transport         *peer.Client
+	server            *peer.Server
+	backend           *backend.Client
+	handler           *execute.Handler
+	forwarder         *forward.Forwarder
+	requests          *entry.RoutedListener
+	heartbeatListener *controlListener
+	readinessListener *controlListener
+	metricsListener   *controlListener
+	followers         []*follower.Follower
+	// restores runs the checks after restores of the store.
+	restores             background.Task
 	refreshConfiguration func()
 	exchange             *exchange.Exchange
 	tableCache           *feed.Cache
@@ -165,6 +168,7 @@
 // buildState builds the parts that hold the routes, the instances and the state of
 // the backend server.
 func (s *Sidecar) buildState() {
+	s.restores = background.NewTask(s.config.Logger.Named("restore"))
 	s.store = era.NewStore(era.Config{
 		Store:      s.config.Store,
 		OnRestored: s.storeRestored,
