Test a write from before a restore that is performed after it

The condition of such a write may hold again. The writer reads the row back after the unknown outcome, so the wanted value wins; the test passes on the code as it is and guards it.

--- a/internal/process/registration/row_test.go
+++ b/internal/process/registration/row_test.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/process/era"
 	"lagoonbarrow/platform"
 	"lagoonbarrow/platform/standin"
 )
@@ -21,9 +22,11 @@
 	}
 	t.Cleanup(server.Close)
 	writer := NewRowWriter(RowWriterConfig{
-		Store: platform.NewStore(platform.StoreConfig{
-			Address: server.Address(),
-			Logger:  hclog.NewNullLogger(),
+		Store: era.NewStore(era.Config{
+			Store: platform.NewStore(platform.StoreConfig{
+				Address: server.Address(),
+				Logger:  hclog.NewNullLogger(),
+			}),
 		}),
 		Table:  "table",
 		Key:    "own",
@@ -139,3 +142,26 @@
 		t.Fatalf("%d writes", store.writes)
 	}
 }
+
+// Guards against a row that keeps the value of a write from before a restore, which the
+// store performs after it.
+func TestLateWriteFromBeforeARestoreIsReplaced(t *testing.T) {
+	const lateWrite = 300 * time.Millisecond
+	writer, server := startRowWriter(t)
+	writer.ObserveRow(lagoonbarrow.Row{})
+	writer.SetValue([]byte("first"))
+	awaitRow(t, server, "first")
+	before := server.Copy()
+	server.SetFaults(standin.Faults{
+		LoseResponses:  1,
+		LostWriteDelay: lateWrite,
+	})
+	writer.SetValue([]byte("late"))
+	time.Sleep(lateWrite / 2)
+	writer.SetValue([]byte("last"))
+	server.Restore(before)
+	server.SetFaults(standin.Faults{})
+	awaitRow(t, server, "last")
+	time.Sleep(2 * lateWrite)
+	awaitRow(t, server, "last")
+}
