Name the messages about changes anew, as their versions hold eras

Nodes of the release before take a version for a number. Beside a store with eras, such a node would ask the store for changes after a version of another node, which the store has never given out, and lose the history again and again. With the new kind of message the two releases don't answer each other's queries, and read the store instead. By reading; two releases side by side were not played.

--- a/internal/process/feed/messages.go
+++ b/internal/process/feed/messages.go
@@ -11,8 +11,10 @@
 	"lagoonbarrow/internal/connection/frame"
 )
 
-// kindChanges is the kind of the messages that request the changes of a table.
-const kindChanges = "table-changes"
+// kindChanges is the kind of the messages that request the changes of a table. Nodes of
+// earlier releases, whose versions hold no era, use "table-changes". They read the store
+// instead.
+const kindChanges = "row-changes"
 
 // changesRequest requests the changes of a table after a version.
 type changesRequest struct {
