Send only the rows that a restore has changed from node to node

Cause: after a restore every row has a version of the new era, so a reader sent the whole table to each node that follows it. At 7,800 nodes that is 1.6 MB a node, by one reader to 1,560 nodes of its zone at the same moment.

Change: a copy knows since when a row has its value. A row with the same number and value as before the restore has not changed; a node that gets no change for a row gives it its version of the new era by itself, so that conditional writes still name the right one. Replies from before a restore are not used by a node that has seen it. The copy of one table has a file of its own.

Ruled out: keeping the old versions of unchanged rows (no conditional write could name them, so the row of a lost node could never be removed).

--- a/internal/process/feed/cache.go
+++ b/internal/process/feed/cache.go
@@ -4,9 +4,6 @@
 package feed
 
 import (
-	"cmp"
-	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,10 +11,6 @@
 	"lagoonbarrow"
 )
 
-// maxDeletions bounds the deletions that a copy of a table remembers. A node that is
-// further behind reads all rows again.
-const maxDeletions = 4096
-
 // Cache holds copies of tables, from which a node answers the requests of others.
 type Cache struct {
 	now func() time.Time
@@ -29,36 +22,6 @@
 	tables map[string]*tableCopy
 }
 
-// tableCopy is the copy of one table.
-type tableCopy struct {
-	rows map[string]lagoonbarrow.Row
-	// deleted holds the versions at which rows were deleted after startVersion.
-	deleted map[string]lagoonbarrow.RowVersion
-	// startVersion is the version up to which deletions are not known: that of the first
-	// copy of the table, or of the last deletion that was forgotten.
-	startVersion lagoonbarrow.RowVersion
-	// restored holds the versions of which the copy knows nothing because the store was
-	// restored from an older copy of its own.
-	restored versionGap
-	version  lagoonbarrow.RowVersion
-	// confirmedAt is the latest time at which version was the newest of the store.
-	confirmedAt time.Time
-	// updated is closed and replaced when rows change or the version is confirmed again.
-	updated chan struct{}
-}
-
-// versionGap is the versions between the last one of an era that a copy has seen and the
-// first one of the next era. Another node may have seen more of the earlier era.
-type versionGap struct {
-	after  lagoonbarrow.RowVersion
-	before lagoonbarrow.RowVersion
-}
-
-// contains reports whether a version lies in the gap.
-func (g versionGap) contains(version lagoonbarrow.RowVersion) bool {
-	return g.after < version && version < g.before
-}
-
 // NewCache returns an empty cache.
 func NewCache() *Cache {
 	return &Cache{
@@ -79,17 +42,7 @@
 	if previous != nil && previous.version > version {
 		return false
 	}
-	replacement := &tableCopy{
-		rows:         map[string]lagoonbarrow.Row{},
-		deleted:      map[string]lagoonbarrow.RowVersion{},
-		startVersion: version,
-		version:      version,
-		confirmedAt:  c.now().Add(-age),
-		updated:      make(chan struct{}),
-	}
-	for _, row := range rows {
-		replacement.rows[row.Key] = row
-	}
+	replacement := newTableCopy(rows, version, c.now().Add(-age))
 	c.tables[table] = replacement
 	if previous != nil {
 		replacement.inheritHistory(previous)
@@ -103,68 +56,24 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	current := c.tables[table]
-	return slices.Collect(maps.Values(current.rows)), current.version
-}
-
-// inheritHistory adds the deletions that the previous copy knows, and those of its rows
-// that this copy lacks.
-func (t *tableCopy) inheritHistory(previous *tableCopy) {
-	t.startVersion = previous.startVersion
-	t.restored = previous.restored
-	t.noteRestore(previous.version)
-	for key, deletedAt := range previous.deleted {
-		if _, exists := t.rows[key]; !exists {
-			t.deleted[key] = deletedAt
-		}
-	}
-	for key := range previous.rows {
-		if _, exists := t.rows[key]; !exists {
-			t.deleted[key] = t.version
-		}
+	var rows []lagoonbarrow.Row
+	for _, copied := range current.rows {
+		rows = append(rows, copied.row)
 	}
-	t.forgetDeletions()
-}
-
-// noteRestore notes the gap if the copy's version is of a later era than the previous one.
-// The copy knows the changes since one earlier era at most.
-func (t *tableCopy) noteRestore(previous lagoonbarrow.RowVersion) {
-	if previous.Era() == t.version.Era() {
-		return
-	}
-	t.startVersion = max(t.startVersion, t.restored.before)
-	t.restored = versionGap{
-		after:  previous,
-		before: t.version,
-	}
-}
-
-// forgetDeletions drops the older half of the deletions when there are too many.
-func (t *tableCopy) forgetDeletions() {
-	if len(t.deleted) <= maxDeletions {
-		return
-	}
-	versions := slices.Sorted(maps.Values(t.deleted))
-	t.startVersion = max(t.startVersion, versions[len(versions)/2])
-	maps.DeleteFunc(t.deleted, func(_ string, version lagoonbarrow.RowVersion) bool {
-		return version <= t.startVersion
-	})
+	return rows, current.version
 }
 
 // Apply applies the changes of a table up to a version. age is the time since this
-// version was confirmed as the store's newest.
-func (c *Cache) Apply(table string, changes []lagoonbarrow.Change, version lagoonbarrow.RowVersion, age time.Duration) {
+// version was confirmed as the store's newest. It returns the changes, and in a new era
+// also the rows that a restore of the store has not changed, with their new versions.
+func (c *Cache) Apply(table string, changes []lagoonbarrow.Change, version lagoonbarrow.RowVersion, age time.Duration) []lagoonbarrow.Change {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	current := c.tables[table]
 	if current == nil || version < current.version {
-		return
-	}
-	for _, change := range changes {
-		current.apply(change)
+		return changes
 	}
-	previous := current.version
-	current.version = version
-	current.noteRestore(previous)
+	all := current.advance(changes, version)
 	confirmedAt := c.now().Add(-age)
 	confirmed := confirmedAt.After(current.confirmedAt)
 	if confirmed {
@@ -174,6 +83,7 @@
 		close(current.updated)
 		current.updated = make(chan struct{})
 	}
+	return all
 }
 
 // age returns the time since the copy of a table was last confirmed as the store's
@@ -188,16 +98,15 @@
 	return c.now().Sub(current.confirmedAt)
 }
 
-func (t *tableCopy) apply(change lagoonbarrow.Change) {
-	key := change.Row.Key
-	if change.Deleted {
-		delete(t.rows, key)
-		t.deleted[key] = change.Row.Version
-		t.forgetDeletions()
-		return
+// era returns the era of the copy of a table, or 0 if there is no copy.
+func (c *Cache) era(table string) lagoonbarrow.Era {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	current := c.tables[table]
+	if current == nil {
+		return 0
 	}
-	t.rows[key] = change.Row
-	delete(t.deleted, key)
+	return current.version.Era()
 }
 
 // changeSet holds the changes of a table after a version.
@@ -226,33 +135,14 @@
 	}
 	found := changeSet{
 		hasCopy:     true,
-		historyLost: version < current.startVersion || current.restored.contains(version),
+		historyLost: !current.coversChangesAfter(version),
 		version:     current.version,
 		age:         c.now().Sub(current.confirmedAt),
 		confirmedAt: current.confirmedAt,
 		updated:     current.updated,
 	}
-	for _, row := range current.rows {
-		if row.Version > version {
-			found.changes = append(found.changes, lagoonbarrow.Change{
-				Row: row,
-			})
-		}
-	}
-	for key, deletedAt := range current.deleted {
-		if deletedAt > version {
-			found.changes = append(found.changes, lagoonbarrow.Change{
-				Row: lagoonbarrow.Row{
-					Table:   table,
-					Key:     key,
-					Version: deletedAt,
-				},
-				Deleted: true,
-			})
-		}
+	if !found.historyLost {
+		found.changes = current.changesAfter(table, version)
 	}
-	slices.SortFunc(found.changes, func(a, b lagoonbarrow.Change) int {
-		return cmp.Compare(a.Row.Version, b.Row.Version)
-	})
 	return found
 }
--- a/internal/process/feed/cache_test.go
+++ b/internal/process/feed/cache_test.go
@@ -126,34 +126,35 @@
 }
 
 // Guards against nodes that keep rows which a restore of the store has removed, because
-// their copy and that of the reader ended at different versions before it.
+// their copy and that of the reader ended at different versions before it, and against
+// readers that send all rows to all nodes after a restore.
 func TestChangesAcrossARestoreAreCompleteOrLost(t *testing.T) {
-	row := func(key string, era lagoonbarrow.Era, number uint64) lagoonbarrow.Row {
+	row := func(key string, era lagoonbarrow.Era, number uint64, value string) lagoonbarrow.Row {
 		return lagoonbarrow.Row{
 			Table:   tableName,
 			Key:     key,
 			Version: lagoonbarrow.NewRowVersion(era, number),
+			Value:   []byte(value),
 		}
 	}
-	type read struct {
-		rows    []lagoonbarrow.Row
-		version lagoonbarrow.RowVersion
-	}
-	first := read{
-		rows:    []lagoonbarrow.Row{row("kept", 1, 3), row("removed", 1, 8)},
-		version: lagoonbarrow.NewRowVersion(1, 10),
-	}
-	second := read{
-		rows:    []lagoonbarrow.Row{row("kept", 2, 3), row("added", 2, 9)},
-		version: lagoonbarrow.NewRowVersion(2, 9),
-	}
-	third := read{
-		rows:    []lagoonbarrow.Row{row("kept", 3, 3)},
-		version: lagoonbarrow.NewRowVersion(3, 5),
+	reads := []read{
+		{
+			rows:    []lagoonbarrow.Row{row("kept", 1, 3, "a"), row("removed", 1, 8, "a"), row("reverted", 1, 9, "b"), row("again", 1, 7, "b")},
+			version: lagoonbarrow.NewRowVersion(1, 10),
+		},
+		{
+			rows:    []lagoonbarrow.Row{row("kept", 2, 3, "a"), row("reverted", 2, 4, "a"), row("again", 2, 7, "c"), row("added", 2, 9, "a")},
+			version: lagoonbarrow.NewRowVersion(2, 9),
+		},
+		{
+			rows:    []lagoonbarrow.Row{row("kept", 3, 3, "a"), row("reverted", 3, 4, "a")},
+			version: lagoonbarrow.NewRowVersion(3, 5),
+		},
 	}
 	tests := []struct {
-		name    string
-		reads   []read
+		name string
+		// reads is the number of reads of the store that the cache has seen.
+		reads   int
 		after   lagoonbarrow.RowVersion
 		lost    bool
 		changed []string
@@ -161,78 +162,106 @@
 	}{
 		{
 			name:    "at the copy's last version",
-			reads:   []read{first, second},
+			reads:   2,
 			after:   lagoonbarrow.NewRowVersion(1, 10),
-			changed: []string{"kept", "added"},
+			changed: []string{"reverted", "again", "added"},
 			deleted: []string{"removed"},
 		},
 		{
 			name:  "before the first copy",
-			reads: []read{first, second},
+			reads: 2,
 			after: lagoonbarrow.NewRowVersion(1, 9),
 			lost:  true,
 		},
 		{
 			name:  "beyond the copy's last version",
-			reads: []read{first, second},
+			reads: 2,
 			after: lagoonbarrow.NewRowVersion(1, 11),
 			lost:  true,
 		},
 		{
 			name:  "in the new era, before the first read",
-			reads: []read{first, second},
+			reads: 2,
 			after: lagoonbarrow.NewRowVersion(2, 8),
 			lost:  true,
 		},
 		{
 			name:  "at the first read of the new era",
-			reads: []read{first, second},
+			reads: 2,
 			after: lagoonbarrow.NewRowVersion(2, 9),
 		},
 		{
 			name:  "two eras ago",
-			reads: []read{first, second, third},
+			reads: 3,
 			after: lagoonbarrow.NewRowVersion(1, 10),
 			lost:  true,
 		},
 		{
 			name:    "one era ago",
-			reads:   []read{first, second, third},
+			reads:   3,
 			after:   lagoonbarrow.NewRowVersion(2, 9),
-			changed: []string{"kept"},
-			deleted: []string{"added"},
+			deleted: []string{"added", "again"},
 		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			cache := NewCache()
-			for _, read := range test.reads {
-				if !cache.Replace(tableName, read.rows, read.version, 0) {
-					t.Fatalf("the rows of version %d were not used", read.version)
-				}
+			reader := newReadCache(reads[:test.reads])
+			checkChanges(t, reader, test.after, test.lost, test.changed, test.deleted)
+			// A node that has followed the reader passes on the same.
+			node := newReadCache(reads[:1])
+			for i := range reads[1:test.reads] {
+				found := newReadCache(reads[:i+2]).changesAfter(tableName, node.changesAfter(tableName, 0).version)
+				node.Apply(tableName, found.changes, found.version, 0)
 			}
-			checkChanges(t, cache, test.after, test.lost, test.changed, test.deleted)
-			// A node that follows the reader passes on the same.
-			follower := NewCache()
-			follower.Replace(tableName, test.reads[0].rows, test.reads[0].version, 0)
-			for i := 1; i < len(test.reads); i++ {
-				reader := NewCache()
-				for _, read := range test.reads[:i+1] {
-					reader.Replace(tableName, read.rows, read.version, 0)
-				}
-				found := reader.changesAfter(tableName, follower.changesAfter(tableName, 0).version)
-				follower.Apply(tableName, found.changes, found.version, 0)
-			}
-			checkChanges(t, follower, test.after, test.lost, test.changed, test.deleted)
+			checkChanges(t, node, test.after, test.lost, test.changed, test.deleted)
 		})
 	}
-	cache := NewCache()
-	cache.Replace(tableName, second.rows, second.version, 0)
-	if cache.Replace(tableName, first.rows, first.version, 0) {
+	if newReadCache(reads[1:2]).Replace(tableName, reads[0].rows, reads[0].version, 0) {
 		t.Error("rows from before the restore replaced later ones")
 	}
 }
 
+// read is the rows of a store at a version.
+type read struct {
+	rows    []lagoonbarrow.Row
+	version lagoonbarrow.RowVersion
+}
+
+// newReadCache returns a cache that has seen these reads, one after the other.
+func newReadCache(reads []read) *Cache {
+	cache := NewCache()
+	for _, read := range reads {
+		cache.Replace(tableName, read.rows, read.version, 0)
+	}
+	return cache
+}
+
+// Guards against rows that keep a version of an earlier era on a node, although a restore has
+// not changed them: no conditional write could name it any more.
+func TestUnchangedRowsHaveVersionsOfTheNewEra(t *testing.T) {
+	row := func(era lagoonbarrow.Era) lagoonbarrow.Row {
+		return lagoonbarrow.Row{
+			Table:   tableName,
+			Key:     "kept",
+			Version: lagoonbarrow.NewRowVersion(era, 3),
+			Value:   []byte("value"),
+		}
+	}
+	cache := newReadCache([]read{
+		{
+			rows:    []lagoonbarrow.Row{row(1)},
+			version: lagoonbarrow.NewRowVersion(1, 5),
+		},
+	})
+	changes := cache.Apply(tableName, nil, lagoonbarrow.NewRowVersion(2, 4), 0)
+	if len(changes) != 1 || changes[0].Deleted || changes[0].Row.Version != row(2).Version || string(changes[0].Row.Value) != "value" {
+		t.Errorf("changes %+v", changes)
+	}
+	if changes := cache.Apply(tableName, nil, lagoonbarrow.NewRowVersion(2, 6), 0); len(changes) > 0 {
+		t.Errorf("changes %+v in the same era", changes)
+	}
+}
+
 // checkChanges fails unless the cache has these changes after a version, or none if the
 // history is lost.
 func checkChanges(t *testing.T, cache *Cache, after lagoonbarrow.RowVersion, lost bool, wantChanged, wantDeleted []string) {
--- a/internal/process/feed/changes.go
+++ b/internal/process/feed/changes.go
@@ -178,9 +178,8 @@
 	if response.err != nil {
 		return nil, response.err
 	}
-	s.feed.apply(s.table, response.changes, response.version, response.age, "")
 	return &result{
-		changes: response.changes,
+		changes: s.feed.apply(s.table, response.changes, response.version, response.age, ""),
 		version: response.version,
 	}, nil
 }
@@ -219,6 +218,9 @@
 	if err := reply.check(s.after); err != nil {
 		return err
 	}
+	if era := s.feed.config.Cache.era(s.table); reply.Version.Era() < era {
+		return errors.Wrapf(lagoonbarrow.ErrUnavailable, "feed: the node's copy is of era %d, from before the store was restored", reply.Version.Era())
+	}
 	if len(reply.Changes) == 0 && reply.Age > s.wait+recentSlack && reply.Age > s.age()-minProgress {
 		return errors.Wrapf(errNoProgress, "feed: copy of %s", reply.Age)
 	}
@@ -227,10 +229,8 @@
 
 // acceptReply applies the reply of a node to this node's copy.
 func (s *search) acceptReply(reply *changesReply, source lagoonbarrow.InstanceID) *result {
-	changes := reply.tableChanges(s.table)
-	s.feed.apply(s.table, changes, reply.Version, reply.Age, source)
 	return &result{
-		changes: changes,
+		changes: s.feed.apply(s.table, reply.tableChanges(s.table), reply.Version, reply.Age, source),
 		version: reply.Version,
 	}
 }
--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -114,12 +114,13 @@
 }
 
 // apply applies changes from a node, or from the store if source is empty, to the copy of
-// a table. It logs how long the copy was without confirmation if that was too long.
-func (f *Feed) apply(table string, changes []lagoonbarrow.Change, version lagoonbarrow.RowVersion, age time.Duration, source lagoonbarrow.InstanceID) {
+// a table, and returns them with the rows that have a new version for another reason. It
+// logs how long the copy was without confirmation if that was too long.
+func (f *Feed) apply(table string, changes []lagoonbarrow.Change, version lagoonbarrow.RowVersion, age time.Duration, source lagoonbarrow.InstanceID) []lagoonbarrow.Change {
 	if unconfirmed := f.config.Cache.age(table); unconfirmed > maxAge {
 		f.config.Logger.Warn("the copy of a table was not confirmed for long", "table", table, "unconfirmed", unconfirmed.String(), "source", source, "age", age.String(), "changes", len(changes))
 	}
-	f.config.Cache.Apply(table, changes, version, age)
+	return f.config.Cache.Apply(table, changes, version, age)
 }
 
 // avoid excludes a node from queries for a time that depends on the cause.
