--- a/ids.go
+++ b/ids.go
@@ -4,6 +4,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"net/netip"
+	"strconv"
 )
 
 // InstanceID identifies one node process and the backend server beside it. A
@@ -87,6 +88,15 @@
 	return uint64(v) & MaxRowNumber
 }
 
+// String returns the number, after the era if there is one, such as "2/870".
+func (v RowVersion) String() string {
+	number := strconv.FormatUint(v.Number(), 10)
+	if v.Era() == 0 {
+		return number
+	}
+	return strconv.Itoa(int(v.Era())) + "/" + number
+}
+
 // Tokens counts the additional attempts that a request may still make.
 type Tokens int
 
--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -122,7 +122,7 @@
 func (d *Directory) setInstance(row lagoonbarrow.Row) bool {
 	instance, err := decode(row)
 	if err != nil {
-		d.config.Logger.Warn("skipped an instance row", "key", row.Key, "version", row.Version, "error", err)
+		d.config.Logger.Warn("skipped an instance row", "key", row.Key, "version", row.Version.String(), "error", err)
 		return false
 	}
 	d.entries[instance.ID] = instance
--- a/internal/process/era/store.go
+++ b/internal/process/era/store.go
@@ -65,7 +65,7 @@
 		return nil, 0, errLate(version)
 	}
 	if version.Era() > after.Era() {
-		return nil, 0, errors.Wrapf(lagoonbarrow.ErrHistoryLost, "era: the store was restored since version %d of era %d", after.Number(), after.Era())
+		return nil, 0, errors.Wrapf(lagoonbarrow.ErrHistoryLost, "era: the store was restored since version %s", after)
 	}
 	return changes, version, nil
 }
@@ -76,7 +76,7 @@
 func (s *Store) Put(ctx context.Context, write lagoonbarrow.Write) (lagoonbarrow.RowVersion, error) {
 	expected := write.Expected.Era()
 	if write.Expected != 0 && s.isEarlier(expected) {
-		return 0, errors.Wrapf(lagoonbarrow.ErrConflict, "era: the store was restored since version %d of era %d", write.Expected.Number(), expected)
+		return 0, errors.Wrapf(lagoonbarrow.ErrConflict, "era: the store was restored since version %s", write.Expected)
 	}
 	version, err := s.config.Store.Put(ctx, write)
 	if err != nil {
@@ -84,7 +84,7 @@
 	}
 	current := s.observe(version.Era())
 	if !current || write.Expected != 0 && version.Era() != expected {
-		return 0, errors.Wrapf(lagoonbarrow.ErrOutcomeUnknown, "era: the store was restored during a write at version %d of era %d", version.Number(), version.Era())
+		return 0, errors.Wrapf(lagoonbarrow.ErrOutcomeUnknown, "era: the store was restored during a write, at version %s", version)
 	}
 	return version, nil
 }
@@ -111,5 +111,5 @@
 
 // errLate returns ErrUnavailable for a response of an earlier era.
 func errLate(version lagoonbarrow.RowVersion) error {
-	return errors.Wrapf(lagoonbarrow.ErrUnavailable, "era: late response of era %d, from before the store was restored", version.Era())
+	return errors.Wrapf(lagoonbarrow.ErrUnavailable, "era: late response at version %s, from before the store was restored", version)
 }
--- a/internal/process/feed/changes.go
+++ b/internal/process/feed/changes.go
@@ -219,7 +219,7 @@
 		return err
 	}
 	if era := s.feed.config.Cache.era(s.table); reply.Version.Era() < era {
-		return errors.Wrapf(lagoonbarrow.ErrUnavailable, "feed: the node's copy is of era %d, from before the store was restored", reply.Version.Era())
+		return errors.Wrapf(lagoonbarrow.ErrUnavailable, "feed: the node's copy has version %s, from before the store was restored", reply.Version)
 	}
 	if len(reply.Changes) == 0 && reply.Age > s.wait+recentSlack && reply.Age > s.age()-minProgress {
 		return errors.Wrapf(errNoProgress, "feed: copy of %s", reply.Age)
--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -84,7 +84,7 @@
 	}
 	f.recordStoreSuccess()
 	if !f.config.Cache.Replace(table, response.rows, response.version, response.age) {
-		f.config.Logger.Warn("the store's rows are older than the copy of the table", "table", table, "version", response.version)
+		f.config.Logger.Warn("the store's rows are older than the copy of the table", "table", table, "version", response.version.String())
 		rows, version := f.config.Cache.rows(table)
 		return rows, version, nil
 	}
--- a/internal/process/feed/messages.go
+++ b/internal/process/feed/messages.go
@@ -132,11 +132,11 @@
 	case !r.HasCopy:
 		return errors.Wrap(lagoonbarrow.ErrHistoryLost, "feed: the node has read nothing yet")
 	case r.HistoryLost:
-		return errors.Wrapf(lagoonbarrow.ErrHistoryLost, "feed: the node's history does not reach back to version %d", after)
+		return errors.Wrapf(lagoonbarrow.ErrHistoryLost, "feed: the node's history does not reach back to version %s", after)
 	case r.Age > maxAge && len(r.Changes) == 0:
 		return errors.Wrapf(lagoonbarrow.ErrUnavailable, "feed: the node's copy is %s old", r.Age)
 	case r.Version < after:
-		return errors.Wrapf(lagoonbarrow.ErrUnavailable, "feed: the node has version %d, this one has %d", r.Version, after)
+		return errors.Wrapf(lagoonbarrow.ErrUnavailable, "feed: the node has version %s, this one has %s", r.Version, after)
 	case r.StoreFailing && len(r.Changes) == 0:
 		return errors.Wrap(lagoonbarrow.ErrUnavailable, "feed: the store doesn't serve the node")
 	default:
--- a/internal/process/registration/remover.go
+++ b/internal/process/registration/remover.go
@@ -129,11 +129,11 @@
 	})
 	if err != nil {
 		// The row may have changed meanwhile. The next check uses its current version.
-		r.config.Logger.Warn("removing the row of a node failed", "node", id, "version", version, "error", err)
+		r.config.Logger.Warn("removing the row of a node failed", "node", id, "version", version.String(), "error", err)
 		return
 	}
 	r.failures = 0
-	r.config.Logger.Info("removed the row of a node that can't be reached", "node", id, "version", version)
+	r.config.Logger.Info("removed the row of a node that can't be reached", "node", id, "version", version.String())
 }
 
 // successor returns the member that follows this node in the order of the id hashes.
--- a/internal/process/registration/row.go
+++ b/internal/process/registration/row.go
@@ -104,7 +104,7 @@
 			wait.Reset()
 			continue
 		}
-		w.config.Logger.Warn("writing the node's row failed", "version", write.Expected, "error", err)
+		w.config.Logger.Warn("writing the node's row failed", "version", write.Expected.String(), "error", err)
 		if errors.Is(err, lagoonbarrow.ErrConflict) || errors.Is(err, lagoonbarrow.ErrOutcomeUnknown) {
 			w.reread(ctx)
 		}
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -435,7 +435,7 @@
 	}
 	server, err := directory.DecodeServer(row)
 	if err != nil {
-		s.config.Logger.Warn("this node's row can't be decoded", "version", row.Version, "error", err)
+		s.config.Logger.Warn("this node's row can't be decoded", "version", row.Version.String(), "error", err)
 		return
 	}
 	if server.Left {
