Encode and decode control messages in one place

The same code stood in quota, roster, contract and feed, and a fifth time in the exchange of the configuration. Errors of malformed messages are ErrInvalid for all of them now; only the texts change. Tests are unchanged but for the function's name.

--- a/internal/process/feed/changes.go
+++ b/internal/process/feed/changes.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"lagoonbarrow"
 	"lagoonbarrow/internal/connection/frame"
@@ -237,27 +236,24 @@
 
 // query sends a request to a node, which may wait for changes, and returns its reply.
 func (s *search) query(ctx context.Context, node lagoonbarrow.Instance, wait, timeout time.Duration) (*changesReply, error) {
-	body, err := msgpack.Marshal(changesRequest{
+	request, err := frame.EncodeMessage(kindChanges, changesRequest{
 		Table: s.table,
 		After: s.after,
 		Wait:  wait,
 	})
 	if err != nil {
-		return nil, errors.Wrap(err, "feed: encode request")
+		return nil, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	started := s.feed.config.Now()
-	response, err := s.feed.config.Sender.Send(ctx, node.Peer, lagoonbarrow.Message{
-		Kind: kindChanges,
-		Body: body,
-	})
+	response, err := s.feed.config.Sender.Send(ctx, node.Peer, request)
 	if err != nil {
 		return nil, err
 	}
 	reply := &changesReply{}
-	if err := frame.Unmarshal(response.Body, reply); err != nil {
-		return nil, errors.Wrap(err, "feed: decode reply")
+	if err := frame.DecodeMessage(response, reply); err != nil {
+		return nil, err
 	}
 	reply.Age += lateness(s.feed.config.Now().Sub(started), wait)
 	return reply, nil
--- a/internal/process/feed/messages.go
+++ b/internal/process/feed/messages.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"lagoonbarrow"
 	"lagoonbarrow/internal/connection/frame"
@@ -64,16 +63,12 @@
 // requested time, until there are changes or the copy is confirmed again.
 func (h *Handler) HandleMessage(ctx context.Context, _ lagoonbarrow.InstanceID, message lagoonbarrow.Message) (lagoonbarrow.Message, error) {
 	var request changesRequest
-	if err := frame.Unmarshal(message.Body, &request); err != nil {
-		return lagoonbarrow.Message{}, errors.Wrap(err, "feed: decode question")
+	if err := frame.DecodeMessage(message, &request); err != nil {
+		return lagoonbarrow.Message{}, err
 	}
 	reply := h.answer(ctx, request)
 	reply.StoreFailing = h.Cache.storeFailing.Load()
-	body, err := msgpack.Marshal(reply)
-	return lagoonbarrow.Message{
-		Kind: kindChanges,
-		Body: body,
-	}, errors.Wrap(err, "feed: encode reply")
+	return frame.EncodeMessage(kindChanges, reply)
 }
 
 // maxRequestWait bounds how long a request may occupy its connection.
--- a/internal/process/quota/messages.go
+++ b/internal/process/quota/messages.go
@@ -120,21 +120,10 @@
 	Credit lagoonbarrow.WorkUnits `msgpack:"credit,omitempty"`
 }
 
-func encode(kind string, value any) (lagoonbarrow.Message, error) {
-	body, err := msgpack.Marshal(value)
-	if err != nil {
-		return lagoonbarrow.Message{}, errors.Wrapf(err, "quota: encode %s", kind)
-	}
-	return lagoonbarrow.Message{
-		Kind: kind,
-		Body: body,
-	}, nil
-}
-
 func decodeReport(message lagoonbarrow.Message) (report, error) {
 	var decoded report
-	if err := frame.Unmarshal(message.Body, &decoded); err != nil {
-		return decoded, errors.Wrapf(lagoonbarrow.ErrInvalid, "quota: decode report: %v", err)
+	if err := frame.DecodeMessage(message, &decoded); err != nil {
+		return decoded, err
 	}
 	for _, entry := range decoded.Entries {
 		if !validDemand(entry.Demand) || !validUnits(entry.ShareInUse) || !validUnits(entry.Shortfall) || !validUnits(entry.Returned) {
@@ -146,8 +135,8 @@
 
 func decodeAnswer(message lagoonbarrow.Message) (answer, error) {
 	var decoded answer
-	if err := frame.Unmarshal(message.Body, &decoded); err != nil {
-		return decoded, errors.Wrapf(lagoonbarrow.ErrInvalid, "quota: decode answer: %v", err)
+	if err := frame.DecodeMessage(message, &decoded); err != nil {
+		return decoded, err
 	}
 	for _, entry := range decoded.Entries {
 		if !validUnits(entry.Share) || !validUnits(entry.Credit) {
--- a/internal/process/quota/quota_test.go
+++ b/internal/process/quota/quota_test.go
@@ -9,6 +9,7 @@
 	"go.uber.org/goleak"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/connection/frame"
 )
 
 // Guards against a first request that is refused because no share has arrived yet,
@@ -184,7 +185,7 @@
 		Customer: "acme",
 		Demand:   byLevel{1e308, 1e307, 1e307},
 	}
-	request, _ := encode(KindShareRequest, report{
+	request, _ := frame.EncodeMessage(KindShareRequest, report{
 		Sequence: 1,
 		Entries:  reportEntries{first, second},
 	})
@@ -192,7 +193,7 @@
 		Customer: "acme",
 		Share:    1e308,
 	}
-	reply, _ := encode(KindShareAnswer, answer{
+	reply, _ := frame.EncodeMessage(KindShareAnswer, answer{
 		Entries: answerEntries{share},
 	})
 	f.Add(request.Body)
--- a/internal/process/quota/report.go
+++ b/internal/process/quota/report.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/connection/frame"
 	"lagoonbarrow/pkg/event"
 )
 
@@ -232,7 +233,7 @@
 		q.applyAnswer(current, q.grantShares(current.owner.ID, current.report))
 		return true
 	}
-	message, err := encode(KindShareRequest, current.report)
+	message, err := frame.EncodeMessage(KindShareRequest, current.report)
 	if err != nil {
 		return false
 	}
@@ -368,7 +369,7 @@
 	if err != nil {
 		return lagoonbarrow.Message{}, err
 	}
-	return encode(KindShareAnswer, q.grantShares(from, received))
+	return frame.EncodeMessage(KindShareAnswer, q.grantShares(from, received))
 }
 
 // grantShares grants shares as the owner. It omits customers without a contract in
--- a/internal/process/roster/handle.go
+++ b/internal/process/roster/handle.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/connection/frame"
 )
 
 // Kinds returns the kinds of messages that HandleMessage serves.
@@ -30,7 +31,7 @@
 	if err != nil {
 		return lagoonbarrow.Message{}, err
 	}
-	reply, err := encode(kind, body)
+	reply, err := frame.EncodeMessage(kind, body)
 	if err != nil {
 		return lagoonbarrow.Message{}, err
 	}
--- a/internal/process/roster/probe.go
+++ b/internal/process/roster/probe.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/connection/frame"
 )
 
 const (
@@ -347,7 +348,7 @@
 // send sends a message and charges its bytes and half of the exchange's cost to
 // the budget. The receiver charges the other half.
 func (r *Roster) send(ctx context.Context, to lagoonbarrow.Instance, kind string, body any) (lagoonbarrow.Message, error) {
-	message, err := encode(kind, body)
+	message, err := frame.EncodeMessage(kind, body)
 	if err != nil {
 		return lagoonbarrow.Message{}, err
 	}
--- a/internal/process/roster/roster.go
+++ b/internal/process/roster/roster.go
@@ -15,6 +15,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/connection/frame"
 	"lagoonbarrow/internal/process/panics"
 )
 
@@ -199,7 +200,7 @@
 	body := leaveBody{
 		Sender: r.ownStatus(),
 	}
-	message, err := encode(kindLeave, body)
+	message, err := frame.EncodeMessage(kindLeave, body)
 	if err != nil {
 		return
 	}
--- a/internal/process/roster/wire.go
+++ b/internal/process/roster/wire.go
@@ -5,7 +5,6 @@
 	"unique"
 
 	"github.com/pkg/errors"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"lagoonbarrow"
 	"lagoonbarrow/internal/connection/frame"
@@ -113,17 +112,6 @@
 // maxDeadSeconds prevents a damaged age from overflowing a time.Duration.
 const maxDeadSeconds = 1 << 30
 
-func encode(kind string, body any) (lagoonbarrow.Message, error) {
-	raw, err := msgpack.Marshal(body)
-	if err != nil {
-		return lagoonbarrow.Message{}, errors.Wrapf(err, "roster: encode %s", kind)
-	}
-	return lagoonbarrow.Message{
-		Kind: kind,
-		Body: raw,
-	}, nil
-}
-
 // maxBodyBytes is the size limit of a frame. Answers stay well below it.
 const maxBodyBytes = 256 << 10
 
@@ -136,10 +124,7 @@
 	if len(message.Body) > maxBodyBytes {
 		return errors.Wrapf(lagoonbarrow.ErrTooLarge, "roster: %s of %d bytes", kind, len(message.Body))
 	}
-	if err := frame.Unmarshal(message.Body, body); err != nil {
-		return errors.Wrapf(lagoonbarrow.ErrInvalid, "roster: decode %s: %v", kind, err)
-	}
-	return nil
+	return frame.DecodeMessage(message, body)
 }
 
 func toWire(r record) wireRecord {
--- a/internal/version/contract/decode_test.go
+++ b/internal/version/contract/decode_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/connection/frame"
 )
 
 const validHash = "2c26b46b68ffc68ff99b453c1d30413413422d706483bfa0f98a5e886266e7ae"
@@ -127,7 +128,7 @@
 		Records:  []lagoonbarrow.ContractRecord{testRecord("acme", 1, testHash(1))},
 	}
 	for _, value := range []any{push, pullRequest{}, Status{}} {
-		message, _ := encodeMessage(KindPush, value)
+		message, _ := frame.EncodeMessage(KindPush, value)
 		f.Add(message.Body)
 	}
 	// The header of an array of 3 billion records without any record.
@@ -139,7 +140,7 @@
 		}
 		_, _ = DecodeStatus(message)
 		var request pullRequest
-		_ = decodeMessage(message, &request)
+		_ = frame.DecodeMessage(message, &request)
 		registry := NewRegistry(RegistryConfig{})
 		registry.Load(nil, 0)
 		if push, err := decodePush(message); err == nil {
@@ -160,7 +161,7 @@
 	}
 	sent := testRecord("acme", 1)
 	sent.Contract = &contract
-	message, err := encodeMessage(KindPush, pushMessage{
+	message, err := frame.EncodeMessage(KindPush, pushMessage{
 		Revision: 1,
 		Records:  []lagoonbarrow.ContractRecord{sent},
 	})
--- a/internal/version/contract/messages.go
+++ b/internal/version/contract/messages.go
@@ -105,24 +105,6 @@
 	return nil
 }
 
-func encodeMessage(kind string, value any) (lagoonbarrow.Message, error) {
-	body, err := msgpack.Marshal(value)
-	if err != nil {
-		return lagoonbarrow.Message{}, errors.Wrapf(err, "contract: encode %s", kind)
-	}
-	return lagoonbarrow.Message{
-		Kind: kind,
-		Body: body,
-	}, nil
-}
-
-func decodeMessage(message lagoonbarrow.Message, into any) error {
-	if err := frame.Unmarshal(message.Body, into); err != nil {
-		return errors.Wrapf(lagoonbarrow.ErrInvalid, "contract: decode %s: %v", message.Kind, err)
-	}
-	return nil
-}
-
 // StatusRequest returns the message that requests the Status of a node.
 func StatusRequest() lagoonbarrow.Message {
 	return lagoonbarrow.Message{
@@ -133,13 +115,13 @@
 // DecodeStatus decodes a node's answer to StatusRequest.
 func DecodeStatus(message lagoonbarrow.Message) (Status, error) {
 	var status Status
-	err := decodeMessage(message, &status)
+	err := frame.DecodeMessage(message, &status)
 	return status, err
 }
 
 func decodePush(message lagoonbarrow.Message) (pushMessage, error) {
 	var push pushMessage
-	if err := decodeMessage(message, &push); err != nil {
+	if err := frame.DecodeMessage(message, &push); err != nil {
 		return push, err
 	}
 	return push, checkRecords(push.Records, push.Revision)
@@ -147,7 +129,7 @@
 
 func decodePullAnswer(message lagoonbarrow.Message) (pullAnswer, error) {
 	var answer pullAnswer
-	if err := decodeMessage(message, &answer); err != nil {
+	if err := frame.DecodeMessage(message, &answer); err != nil {
 		return answer, err
 	}
 	return answer, checkRecords(answer.Records, answer.Revision)
--- a/internal/version/contract/pull.go
+++ b/internal/version/contract/pull.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/connection/frame"
 )
 
 // pullTarget is a peer that has a higher revision.
@@ -85,7 +86,7 @@
 // pull requests one message of records from a peer and reports whether any were
 // applied. It returns errTrimmed if the peer no longer keeps the records.
 func (d *Distributor) pull(ctx context.Context, peer lagoonbarrow.Address) (bool, error) {
-	request, err := encodeMessage(KindPull, pullRequest{
+	request, err := frame.EncodeMessage(KindPull, pullRequest{
 		After: d.config.Registry.Revision(),
 	})
 	if err != nil {
--- a/internal/version/contract/push.go
+++ b/internal/version/contract/push.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/connection/frame"
 )
 
 // pushPeers is the number of random peers that receive a push.
@@ -23,7 +24,7 @@
 // records once more. After that, nodes only announce their revision.
 func (d *Distributor) push(records []lagoonbarrow.ContractRecord, forward bool) {
 	revision, age, _ := d.Gossip()
-	message, err := encodeMessage(KindPush, pushMessage{
+	message, err := frame.EncodeMessage(KindPush, pushMessage{
 		Revision: revision,
 		Age:      age,
 		Forward:  forward,
@@ -83,7 +84,7 @@
 	case KindPull:
 		return d.handlePull(message)
 	case KindStatus:
-		return encodeMessage(KindStatus, d.Status())
+		return frame.EncodeMessage(KindStatus, d.Status())
 	default:
 		return lagoonbarrow.Message{}, errUnknownKind(message.Kind)
 	}
@@ -115,12 +116,12 @@
 	case len(applied) > 0:
 		d.announce()
 	}
-	return encodeMessage(KindPush, d.Status())
+	return frame.EncodeMessage(KindPush, d.Status())
 }
 
 func (d *Distributor) handlePull(message lagoonbarrow.Message) (lagoonbarrow.Message, error) {
 	var request pullRequest
-	if err := decodeMessage(message, &request); err != nil {
+	if err := frame.DecodeMessage(message, &request); err != nil {
 		return lagoonbarrow.Message{}, err
 	}
 	revision, age, known := d.Gossip()
@@ -132,7 +133,7 @@
 		// The registry may have applied more records since the revision was read.
 		revision = max(revision, records[len(records)-1].Revision)
 	}
-	return encodeMessage(KindPull, pullAnswer{
+	return frame.EncodeMessage(KindPull, pullAnswer{
 		Revision: revision,
 		Age:      age,
 		TooOld:   !complete,
--- a/internal/version/exchange/exchange.go
+++ b/internal/version/exchange/exchange.go
@@ -9,8 +9,6 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/pkg/errors"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"lagoonbarrow"
 	"lagoonbarrow/internal/connection/frame"
@@ -209,24 +207,21 @@
 }
 
 func (e *Exchange) send(ctx context.Context, node lagoonbarrow.Instance, version lagoonbarrow.ConfigurationVersion) (*reply, error) {
-	body, err := msgpack.Marshal(query{
+	message, err := frame.EncodeMessage(kindConfiguration, query{
 		Version: version,
 	})
 	if err != nil {
-		return nil, errors.Wrap(err, "exchange: encode query")
+		return nil, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
-	response, err := e.config.Sender.Send(ctx, node.Peer, lagoonbarrow.Message{
-		Kind: kindConfiguration,
-		Body: body,
-	})
+	response, err := e.config.Sender.Send(ctx, node.Peer, message)
 	if err != nil {
 		return nil, err
 	}
 	received := &reply{}
-	if err := frame.Unmarshal(response.Body, received); err != nil {
-		return nil, errors.Wrap(err, "exchange: decode reply")
+	if err := frame.DecodeMessage(response, received); err != nil {
+		return nil, err
 	}
 	return received, nil
 }
--- a/internal/version/exchange/handler.go
+++ b/internal/version/exchange/handler.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 
-	"github.com/pkg/errors"
-	"github.com/vmihailenco/msgpack/v5"
-
 	"lagoonbarrow"
 	"lagoonbarrow/internal/connection/frame"
 )
@@ -41,14 +38,10 @@
 // HandleMessage answers with the configuration in force.
 func (h *Handler) HandleMessage(_ context.Context, _ lagoonbarrow.InstanceID, message lagoonbarrow.Message) (lagoonbarrow.Message, error) {
 	var received query
-	if err := frame.Unmarshal(message.Body, &received); err != nil {
-		return lagoonbarrow.Message{}, errors.Wrap(err, "exchange: decode query")
+	if err := frame.DecodeMessage(message, &received); err != nil {
+		return lagoonbarrow.Message{}, err
 	}
-	body, err := msgpack.Marshal(h.answer(received))
-	return lagoonbarrow.Message{
-		Kind: kindConfiguration,
-		Body: body,
-	}, errors.Wrap(err, "exchange: encode reply")
+	return frame.EncodeMessage(kindConfiguration, h.answer(received))
 }
 
 func (h *Handler) answer(received query) reply {
