Part the sidecar's wiring by concern, and collect message handlers in one place

The followers of the store's tables, the connections between nodes and what happens to this node's instance have files of their own; the code is moved as it was. The map from kinds of messages to their handlers was built in three places.

--- a/interfaces.go
+++ b/interfaces.go
@@ -110,6 +110,12 @@
 	HandleMessage(ctx context.Context, from InstanceID, message Message) (Message, error)
 }
 
+// MessagePart is a part of the process that serves control messages of some kinds.
+type MessagePart interface {
+	MessageHandler
+	Kinds() []string
+}
+
 // Work describes a call that needs a slot of the backend server.
 type Work struct {
 	Request  RequestID
--- a/internal/bench/table.go
+++ b/internal/bench/table.go
@@ -99,16 +99,12 @@
 	for number := 1; number < plannedMembers; number++ {
 		members.Merge(plannedMember(number, address))
 	}
-	handlers := map[string]lagoonbarrow.MessageHandler{}
-	for _, kind := range members.Kinds() {
-		handlers[kind] = members
-	}
 	server, err := peer.NewServer(peer.ServerConfig{
 		Address:  address,
 		PeerKey:  key,
 		Self:     id,
 		Calls:    callRefuser{},
-		Messages: handlers,
+		Messages: peer.MessageHandlers(members),
 	})
 	if err != nil {
 		r.Fatal(err)
--- a/internal/connection/peer/config.go
+++ b/internal/connection/peer/config.go
@@ -48,9 +48,11 @@
 	// Address is the address to listen on. With port 0 the system chooses a port.
 	Address lagoonbarrow.Address
 	// PeerKey is the secret key shared by all nodes.
-	PeerKey  []byte
-	Self     lagoonbarrow.InstanceID
-	Calls    lagoonbarrow.CallHandler
+	PeerKey []byte
+	Self    lagoonbarrow.InstanceID
+	Calls   lagoonbarrow.CallHandler
+	// Messages holds the handlers of control messages by kind, as MessageHandlers returns
+	// them.
 	Messages map[string]lagoonbarrow.MessageHandler
 	// MaxConnections bounds the connections for calls; 4,096 by default.
 	MaxConnections int
@@ -206,3 +208,14 @@
 	}
 	return nil
 }
+
+// MessageHandlers returns the parts by the kinds of messages that they serve.
+func MessageHandlers(parts ...lagoonbarrow.MessagePart) map[string]lagoonbarrow.MessageHandler {
+	handlers := map[string]lagoonbarrow.MessageHandler{}
+	for _, part := range parts {
+		for _, kind := range part.Kinds() {
+			handlers[kind] = part
+		}
+	}
+	return handlers
+}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -322,7 +322,7 @@
 		PeerKey:      []byte(n.settings.PeerKey),
 		Self:         n.settings.Instance,
 		Calls:        n.handler,
-		Messages:     n.messageHandlers(),
+		Messages:     peer.MessageHandlers(n.roster, n.distributor, n.quota),
 		MaxBodyBytes: n.settings.MaxBodyBytes,
 		Recorder:     n.timeline,
 		Scope:        n.scope.SubScope("peer"),
@@ -335,22 +335,6 @@
 	return nil
 }
 
-// messageHandler is a part that serves control messages.
-type messageHandler interface {
-	lagoonbarrow.MessageHandler
-	Kinds() []string
-}
-
-func (n *Node) messageHandlers() map[string]lagoonbarrow.MessageHandler {
-	handlers := map[string]lagoonbarrow.MessageHandler{}
-	for _, part := range []messageHandler{n.roster, n.distributor, n.quota} {
-		for _, kind := range part.Kinds() {
-			handlers[kind] = part
-		}
-	}
-	return handlers
-}
-
 // Start starts all parts. The node accepts work once it has contracts and members
 // and its backend server answers.
 func (n *Node) Start(ctx context.Context) error {
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -19,7 +19,6 @@
 	"lagoonbarrow/internal/process/follower"
 	"lagoonbarrow/internal/process/memory"
 	"lagoonbarrow/internal/process/metrics"
-	"lagoonbarrow/internal/process/panics"
 	"lagoonbarrow/internal/process/placement"
 	"lagoonbarrow/internal/process/registration"
 	"lagoonbarrow/internal/process/retry"
@@ -34,16 +33,6 @@
 )
 
 const (
-	// configurationPollTimeout is how long one query for configuration changes waits. The
-	// feed abandons silent sources soon after it, within the time that a change may take.
-	configurationPollTimeout = 800 * time.Millisecond
-	// instancesPollTimeout is the same for the instances. Their changes are less urgent,
-	// because a node refuses calls that its backend server can't run.
-	instancesPollTimeout = time.Second
-	// instancesBatchDelay is the time in which changes of many instances are collected.
-	instancesBatchDelay = 300 * time.Millisecond
-	// reservedFiles is the number of open files that are not for connections.
-	reservedFiles = 300
 	// timelineEvents is the number of events kept in memory.
 	timelineEvents = 512
 	// requestLogsPerSecond bounds the log lines about single requests.
@@ -59,16 +48,6 @@
 	// serverDialTimeout bounds opening a connection to the backend server on the same
 	// machine. A server that lost power doesn't answer at all.
 	serverDialTimeout = 200 * time.Millisecond
-	// peerDialTimeout bounds opening a connection to another node, which is a few
-	// milliseconds away. peerHandshakeTimeout bounds the handshake, also with a busy node.
-	peerDialTimeout      = 300 * time.Millisecond
-	peerHandshakeTimeout = 500 * time.Millisecond
-	// peerSilenceTimeout ends calls to a node that lost power or its network, early
-	// enough for the client to retry them within its target latency. It is long
-	// enough for the third transmission of a packet that was lost twice.
-	peerSilenceTimeout = 800 * time.Millisecond
-	// bufferedDivisor limits buffered bodies between nodes to a quarter of the memory.
-	bufferedDivisor = 4
 	// bodiesDivisor limits the bodies of requests and of the backend server's answers
 	// to an eighth of the memory. Until the next garbage collection they take up to
 	// four times as much.
@@ -142,6 +121,7 @@
 	s.stopTimeout.Store(int64(config.Settings.StopTimeout))
 	s.buildTelemetry()
 	s.buildState()
+	s.buildFollowers()
 	if err := s.buildServer(); err != nil {
 		return nil, err
 	}
@@ -214,45 +194,6 @@
 		Sender:  deferredTransport{sidecar: s},
 		Logger:  s.config.Logger.Named("remover"),
 	})
-	s.tableCache = feed.NewCache()
-	source := feed.New(feed.Config{
-		Self:    s.settings.Instance,
-		Zone:    s.settings.Zone,
-		Store:   s.store,
-		Members: s.directory.All,
-		Sender:  deferredTransport{sidecar: s},
-		Cache:   s.tableCache,
-		Logger:  s.config.Logger.Named("feed"),
-	})
-	configuration := follower.New(follower.Config{
-		Feed:         source,
-		Table:        s.config.Configuration.Table,
-		PollTimeout:  configurationPollTimeout,
-		NeedsRefresh: s.configurationOutdated,
-		Replace:      s.applyConfigurationRows,
-		Apply:        s.applyConfigurationChanges,
-		Logger:       s.config.Logger.Named("configuration"),
-	})
-	s.refreshConfiguration = configuration.Refresh
-	s.exchange = exchange.New(exchange.Config{
-		Self:     s.settings.Instance,
-		Members:  s.knownMembers,
-		Sender:   deferredTransport{sidecar: s},
-		Current:  s.routes.Current,
-		Offer:    s.offerConfiguration,
-		Outdated: s.configurationOutdated,
-		Logger:   s.config.Logger.Named("exchange"),
-	})
-	instances := follower.New(follower.Config{
-		Feed:        source,
-		Table:       directory.Table,
-		PollTimeout: instancesPollTimeout,
-		BatchDelay:  instancesBatchDelay,
-		Replace:     s.directory.Replace,
-		Apply:       s.directory.Apply,
-		Logger:      s.config.Logger.Named("directory"),
-	})
-	s.followers = []*follower.Follower{configuration, instances}
 }
 
 // buildServer builds the parts that run calls on the backend server.
@@ -294,69 +235,6 @@
 	return nil
 }
 
-// buildPeers builds the client and the server for messages and calls between nodes.
-func (s *Sidecar) buildPeers(key []byte) error {
-	var err error
-	s.transport, err = peer.NewClient(peer.ClientConfig{
-		PeerKey:               key,
-		Self:                  s.settings.Instance,
-		Advertise:             s.settings.PeerAddress,
-		DialTimeout:           peerDialTimeout,
-		HandshakeTimeout:      peerHandshakeTimeout,
-		UnacknowledgedTimeout: peerSilenceTimeout,
-		MaxConnections:        s.maxConnections(),
-		MaxBodyBytes:          maxBodyBytes,
-		Recorder:              s.timeline,
-		Scope:                 s.metrics.Scope().SubScope("peer"),
-	})
-	if err != nil {
-		return err
-	}
-	s.server, err = peer.NewServer(peer.ServerConfig{
-		Address:          s.settings.PeerAddress,
-		PeerKey:          key,
-		Self:             s.settings.Instance,
-		Calls:            s.handler,
-		Messages:         s.messageHandlers(),
-		MaxConnections:   s.maxConnections(),
-		MaxBodyBytes:     maxBodyBytes,
-		MaxBufferedBytes: s.settings.MemoryBytes / bufferedDivisor,
-		Panics:           panics.NewReporter(s.config.Logger.Named("peer")),
-		Recorder:         s.timeline,
-		Scope:            s.metrics.Scope().SubScope("peer"),
-	})
-	return err
-}
-
-func (s *Sidecar) messageHandlers() map[string]lagoonbarrow.MessageHandler {
-	changes := &feed.Handler{
-		Cache: s.tableCache,
-	}
-	presence := &registration.PresenceHandler{
-		Self: s.settings.Instance,
-	}
-	configurations := &exchange.Handler{
-		Current: s.routes.Current,
-	}
-	handlers := map[string]lagoonbarrow.MessageHandler{}
-	for _, kind := range changes.Kinds() {
-		handlers[kind] = changes
-	}
-	for _, kind := range presence.Kinds() {
-		handlers[kind] = presence
-	}
-	for _, kind := range configurations.Kinds() {
-		handlers[kind] = configurations
-	}
-	return handlers
-}
-
-// maxConnections returns the limit of connections of one kind. There are four kinds:
-// from clients, from other nodes, to other nodes and to the backend server.
-func (s *Sidecar) maxConnections() int {
-	return max(1, (s.settings.MaxOpenFiles-reservedFiles)/4)
-}
-
 func (s *Sidecar) buildListeners() {
 	s.forwarder = forward.New(forward.Config{
 		Self:           s.settings.Instance,
@@ -392,71 +270,3 @@
 // maxHeaderBytes bounds the headers of a request. The platform's clients send at most
 // 16 KiB.
 const maxHeaderBytes = 17 << 10
-
-// serverChanged applies the state of the backend server to this node's slots, its
-// entry in the directory and its row.
-func (s *Sidecar) serverChanged(server registration.Server, ready bool) {
-	state := lagoonbarrow.StateLeaving
-	if ready {
-		state = lagoonbarrow.StateReady
-	}
-	s.gate.SetSlots(server.Slots)
-	self := lagoonbarrow.Instance{
-		ID:      s.settings.Instance,
-		Service: server.Service,
-		Zone:    s.settings.Zone,
-		Region:  s.settings.Region,
-		Peer:    s.settings.PeerAddress,
-		Slots:   server.Slots,
-		State:   state,
-	}
-	if s.leaving.Load() {
-		self.State = lagoonbarrow.StateLeaving
-	}
-	s.directory.SetSelf(self)
-	value, err := directory.Encode(self, directory.Server{
-		ID:      server.ID,
-		Started: server.Started,
-		Left:    server.Left,
-	})
-	if err != nil {
-		s.config.Logger.Error("encoding the node's row failed", "error", err)
-		return
-	}
-	s.rowWriter.SetValue(value)
-}
-
-// ownRowRead processes this node's row as it is in the store. The first one read was
-// written by an earlier process, which may have acknowledged that the backend server leaves.
-func (s *Sidecar) ownRowRead(row lagoonbarrow.Row) {
-	s.rowWriter.ObserveRow(row)
-	if s.ownRowKnown.Swap(true) || row.Version == 0 {
-		return
-	}
-	server, err := directory.DecodeServer(row)
-	if err != nil {
-		s.config.Logger.Warn("this node's row can't be decoded", "version", row.Version.String(), "error", err)
-		return
-	}
-	if server.Left {
-		s.registration.RestoreDeparture(server.ID, server.Started)
-	}
-}
-
-// serviceInstances returns the number of known instances of this node's service, its
-// own included. It returns 0 until the directory is ready.
-func (s *Sidecar) serviceInstances() int {
-	if !s.directory.Ready() {
-		return 0
-	}
-	return len(s.directory.Instances(s.settings.Service))
-}
-
-// knownMembers returns all nodes, and whether they were read from the store.
-func (s *Sidecar) knownMembers() ([]lagoonbarrow.Instance, bool) {
-	return s.directory.All(), s.directory.Ready()
-}
-
-func (s *Sidecar) membersChanged(ids map[lagoonbarrow.InstanceID]bool) {
-	s.chooser.RetainInstances(ids)
-}
