--- a/internal/process/era/store_test.go
+++ b/internal/process/era/store_test.go
@@ -30,8 +30,7 @@
 	return s.version, nil
 }
 
-// Guards against changes after a version that are taken for complete although the store has
-// given out its number in another era.
+// Guards against changes that count as complete although their number was given out again.
 func TestChangesOfAnotherEraAreNotUsed(t *testing.T) {
 	tests := []struct {
 		name string
@@ -138,8 +137,7 @@
 	}
 }
 
-// Guards against a conditional write that is taken for done although its number was given
-// out again, or although the restore has lost it.
+// Guards against a write that counts as done although a restore has lost or misdirected it.
 func TestWritesAcrossARestoreAreNotTakenForDone(t *testing.T) {
 	tests := []struct {
 		name     string
@@ -219,8 +217,7 @@
 	}
 }
 
-// Guards against a restore that nobody is told of, and against the first response being
-// taken for one.
+// Guards against a restore that nobody is told of.
 func TestEachRestoreIsReportedOnce(t *testing.T) {
 	var reported []lagoonbarrow.Era
 	inner := &scriptedStore{}
--- a/internal/process/feed/cache_test.go
+++ b/internal/process/feed/cache_test.go
@@ -125,9 +125,7 @@
 	}
 }
 
-// Guards against nodes that keep rows which a restore of the store has removed, because
-// their copy and that of the reader ended at different versions before it, and against
-// readers that send all rows to all nodes after a restore.
+// Guards against nodes that keep rows which a restore of the store has removed.
 func TestChangesAcrossARestoreAreCompleteOrLost(t *testing.T) {
 	row := func(key string, era lagoonbarrow.Era, number uint64, value string) lagoonbarrow.Row {
 		return lagoonbarrow.Row{
@@ -236,8 +234,7 @@
 	return cache
 }
 
-// Guards against rows that keep a version of an earlier era on a node, although a restore has
-// not changed them: no conditional write could name it any more.
+// Guards against unchanged rows whose versions no conditional write can name any more.
 func TestUnchangedRowsHaveVersionsOfTheNewEra(t *testing.T) {
 	row := func(era lagoonbarrow.Era) lagoonbarrow.Row {
 		return lagoonbarrow.Row{
--- a/internal/process/feed/property_test.go
+++ b/internal/process/feed/property_test.go
@@ -187,8 +187,7 @@
 	}
 }
 
-// Guards against rows that a node keeps or misses after the store was restored from an older
-// copy, once or several times, beside the faults above.
+// Guards against rows that a node keeps or misses after restores, beside the faults above.
 func TestPropertyRowsFollowRestores(t *testing.T) {
 	for _, seed := range seeds() {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
--- a/internal/process/registration/row_test.go
+++ b/internal/process/registration/row_test.go
@@ -143,8 +143,7 @@
 	}
 }
 
-// Guards against a row that keeps the value of a write from before a restore, which the
-// store performs after it.
+// Guards against a row that keeps a write from before a restore, performed after it.
 func TestLateWriteFromBeforeARestoreIsReplaced(t *testing.T) {
 	const lateWrite = 300 * time.Millisecond
 	writer, server := startRowWriter(t)
--- a/internal/process/sidecar/peerkey_test.go
+++ b/internal/process/sidecar/peerkey_test.go
@@ -58,8 +58,7 @@
 	}
 }
 
-// Guards against processes that make a key of their own while nodes with the lost one run,
-// and against processes that wait for it without an end.
+// Guards against a process that makes a key of its own while nodes with the lost one run.
 func TestKeyIsCreatedOnceNoNodeCanHaveIt(t *testing.T) {
 	tests := []struct {
 		name string
@@ -88,7 +87,9 @@
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				started := time.Now()
-				key, err := newKeyLoader(&keyStore{era: test.era}).wait(t.Context())
+				key, err := newKeyLoader(&keyStore{
+					era: test.era,
+				}).wait(t.Context())
 				took := time.Since(started)
 				if err != nil || len(key) != keyBytes || took < test.earliest || took > test.latest {
 					t.Errorf("key of %d bytes after %s, error %v", len(key), took, err)
@@ -98,8 +99,7 @@
 	}
 }
 
-// Guards against a lost key that no node writes again, and against a node that replaces the
-// key of others.
+// Guards against a lost key that no node writes again, and one that replaces another.
 func TestKeyIsKeptAfterARestore(t *testing.T) {
 	own, other := bytes.Repeat([]byte{1}, keyBytes), bytes.Repeat([]byte{2}, keyBytes)
 	tests := []struct {
--- a/internal/process/sidecar/restore_test.go
+++ b/internal/process/sidecar/restore_test.go
@@ -19,11 +19,16 @@
 	outage = 800 * time.Millisecond
 )
 
-// loseWrites makes the nodes see writes that the next restore loses.
-func (f *fleet) loseWrites(count int) {
-	for i := range count {
-		f.store.Put("other", fmt.Sprint(i), []byte("lost"))
+// advanceCounter moves the store's counter by writes that no node follows.
+func (f *fleet) advanceCounter(writes int) {
+	for i := range writes {
+		f.store.Put("other", fmt.Sprint(i), []byte("value"))
 	}
+}
+
+// loseWrites makes the nodes see versions that the next restore loses.
+func (f *fleet) loseWrites(count int) {
+	f.advanceCounter(count)
 	time.Sleep(pollBound)
 }
 
@@ -58,8 +63,7 @@
 	f.t.Errorf("condition not met after %s: %s", bound, condition)
 }
 
-// Guards against a change that no node reads because the restored store has given it a
-// version that the nodes have seen before.
+// Guards against a change whose version the nodes have seen before, and which none reads.
 func TestChangeIsInForceAfterARestoreGivesOutItsVersionAgain(t *testing.T) {
 	tests := []struct {
 		name string
@@ -89,17 +93,14 @@
 			before := f.store.Copy()
 			f.loseWrites(test.lost)
 			f.restore(before)
-			for i := range test.rewritten {
-				f.store.Put("other", fmt.Sprint(i), []byte("new"))
-			}
+			f.advanceCounter(test.rewritten)
 			f.configure("beta")
 			f.within(applyBound, "the change is in force on all nodes", f.inForce)
 		})
 	}
 }
 
-// Guards against calls without a pause to a restored store whose counter is behind the
-// nodes' copies.
+// Guards against calls without a pause while the store's counter is behind the copies.
 func TestRestoredStoreIsNotCalledInALoop(t *testing.T) {
 	const (
 		length            = 4 * time.Second
@@ -149,7 +150,7 @@
 			before := f.store.Copy()
 			f.store.Put(directory.Table, "changed", row("new"))
 			f.store.Put(directory.Table, "added", row("new"))
-			f.store.Put("other", "0", []byte("lost"))
+			f.advanceCounter(1)
 			has := func(id, service string) func() bool {
 				return func() bool {
 					for _, m := range f.members {
@@ -163,9 +164,7 @@
 			f.waitFor("the row is known", has("added", "new"))
 			time.Sleep(pollBound)
 			f.restore(before)
-			for i := range test.rewritten {
-				f.store.Put("other", fmt.Sprint(i), []byte("new"))
-			}
+			f.advanceCounter(test.rewritten)
 			f.within(2*applyBound, "the changed row is as in the copy", has("changed", "old"))
 			f.within(2*applyBound, "the added row is gone", has("added", ""))
 		})
@@ -182,8 +181,15 @@
 	return ""
 }
 
-// Guards against a node that believes its last write to be in the store after a restore
-// has brought back its row in an earlier state.
+// rowSaysLeft reports whether the row of a node says that its server leaves.
+func (f *fleet) rowSaysLeft(id string) bool {
+	server, err := directory.DecodeServer(lagoonbarrow.Row{
+		Value: f.store.Value(directory.Table, id),
+	})
+	return err == nil && server.Left
+}
+
+// Guards against a node that doesn't notice that its row is back in an earlier state.
 func TestOwnRowIsWrittenAgainAfterARestore(t *testing.T) {
 	tests := []struct {
 		name      string
@@ -217,15 +223,9 @@
 			f.waitFor("the leaving is known", published)
 			time.Sleep(pollBound)
 			f.restore(before)
-			for i := range test.rewritten {
-				f.store.Put("other", fmt.Sprint(i), []byte("new"))
-			}
+			f.advanceCounter(test.rewritten)
 			time.Sleep(2 * applyBound)
-			var left bool
-			if server, err := directory.DecodeServer(lagoonbarrow.Row{Value: f.store.Value(directory.Table, "node-0")}); err == nil {
-				left = server.Left
-			}
-			if !left || !published() {
+			if left := f.rowSaysLeft("node-0"); !left || !published() {
 				t.Errorf("the row says that the server leaves: %t; the other nodes know it: %t", left, published())
 			}
 		})
@@ -242,8 +242,7 @@
 	f.waitFor("the sidecar is ready", m.ready)
 }
 
-// Guards against a process that starts before the operator has written the last
-// configuration again, and serves by an older one than its peers.
+// Guards against a process that serves by an older configuration than its peers.
 func TestProcessStartedAfterARestoreServesByTheConfigurationOfItsPeers(t *testing.T) {
 	f := newFleet(t, 0, nil)
 	before := f.store.Copy()
@@ -254,8 +253,7 @@
 	f.within(applyBound, "the lost change is in force on the new process", f.inForce)
 }
 
-// Guards against a process that starts after a restore has lost the key of the nodes, and
-// makes another one.
+// Guards against a process that makes another key because a restore has lost it.
 func TestProcessStartedAfterARestoreHasTheKeyOfItsPeers(t *testing.T) {
 	f := newFleet(t, 0, nil)
 	key := f.store.Value(keyTable, keyRow)
