Copy the peers of the roster's test node before it sends to them

Cause: the test transport ranged over its map of peers under the network's mutex, while sends added to it under the node's own mutex. Only the test's transport changes; no check does.

--- a/internal/process/roster/fake_test.go
+++ b/internal/process/roster/fake_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"os"
 	"slices"
 	"strconv"
@@ -186,9 +187,13 @@
 }
 
 func (n *fakeNode) Broadcast(ctx context.Context, message lagoonbarrow.Message) {
+	// Send adds peers at the same time.
+	n.mutex.Lock()
+	peers := maps.Clone(n.peers)
+	n.mutex.Unlock()
 	n.network.mutex.Lock()
 	defer n.network.mutex.Unlock()
-	for address := range n.peers {
+	for address := range peers {
 		other, found := n.network.nodes[address]
 		if found && n.network.reachable(n.self, other.self) {
 			_, _ = other.HandleMessage(ctx, n.self.ID, message)
