Show that slow readers drive a process over its memory

Tried: 20 requests a second at one machine with answers of 8 MB, which clients read at 1 MB/s for up to 6 s.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,7 +20,8 @@
 // cases maps the names of the cases to their functions, which report whether the rule was
 // broken.
 var cases = map[string]func(record *record, trouble bool) (broken bool, err error){
-	"slow-stop": slowStop,
+	"slow-stop":    slowStop,
+	"slow-readers": slowReaders,
 }
 
 func main() {
