Show that a heartbeat of another writer hides that a server leaves

Case 3 of the review, a script. Tried: one heartbeat without zone and version, with a high count, then a server that drains.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,8 +20,9 @@
 // cases maps the names of the cases to their functions, which report whether the rule was
 // broken.
 var cases = map[string]func(record *record, trouble bool) (broken bool, err error){
-	"slow-stop":    slowStop,
-	"slow-readers": slowReaders,
+	"slow-stop":         slowStop,
+	"slow-readers":      slowReaders,
+	"foreign-heartbeat": foreignHeartbeat,
 }
 
 func main() {
