Show that a stopped process forgets a leaving that it has acknowledged

Tried: a server leaves while the store is down, the process that has acknowledged it is stopped by SIGTERM and started again, and a heartbeat from before arrives late.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -23,6 +23,7 @@
 	"slow-stop":         slowStop,
 	"slow-readers":      slowReaders,
 	"foreign-heartbeat": foreignHeartbeat,
+	"left-server":       leftServer,
 }
 
 func main() {
