--- /dev/null
+++ b/review/standin2/server.go
@@ -0,0 +1,210 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// workDuration is the mean work of a doc-upload of the site.
+const workDuration = 160 * time.Millisecond
+
+// run is a request that a server began to work on.
+type run struct {
+	at     time.Time
+	id     string
+	method string
+	target string
+	body   []byte
+	// finished is set once the work has come to its end.
+	finished bool
+}
+
+// server is a sound backend server.
+type server struct {
+	id      string
+	service string
+	address string
+	report  string
+	work    time.Duration
+	// finishes is set for a server that doesn't drop a request whose connection is closed.
+	finishes bool
+	// answer replaces the usual answer, if it is set and returns true.
+	answer func(w http.ResponseWriter, r *http.Request, body []byte) bool
+
+	listener net.Listener
+	http     *http.Server
+	stop     chan struct{}
+
+	mu       sync.Mutex
+	born     time.Time
+	state    string
+	sequence int
+	acks     int
+	runs     []run
+}
+
+func newServer(id, service, address string) (*server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	s := &server{
+		id:       id,
+		service:  service,
+		address:  address,
+		listener: listener,
+		work:     workDuration,
+		state:    "ready",
+		born:     time.Now(),
+		stop:     make(chan struct{}),
+	}
+	s.http = &http.Server{
+		Handler: s,
+	}
+	go func() { _ = s.http.Serve(listener) }()
+	return s, nil
+}
+
+func (s *server) close() {
+	close(s.stop)
+	_ = s.http.Close()
+}
+
+// startHeartbeats sends a heartbeat each interval.
+func (s *server) startHeartbeats() {
+	go func() {
+		for {
+			_ = s.heartbeat()
+			select {
+			case <-s.stop:
+				return
+			case <-time.After(heartbeatInterval):
+			}
+		}
+	}()
+}
+
+// heartbeat sends the next heartbeat, and returns an error unless it was acknowledged.
+func (s *server) heartbeat() error {
+	s.mu.Lock()
+	s.sequence++
+	body := fmt.Sprintf(`{"address":%q,"born":%d,"info":{"service":%q,"version":"v1","zone":"mu-north-a","slots":299},"status":{"state":%q,"sequence":%d,"cold-remaining":"0ms"}}`,
+		s.address, s.born.UnixMilli(), s.service, s.state, s.sequence)
+	s.mu.Unlock()
+	return s.send(http.MethodPut, body)
+}
+
+func (s *server) send(method, body string) error {
+	request, err := http.NewRequest(method, "http://"+s.report+"/instances/"+s.id, bytes.NewBufferString(body))
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	client := http.Client{
+		Timeout: time.Second,
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode/100 != 2 {
+		return fmt.Errorf("status %d", response.StatusCode)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.acks++
+	return nil
+}
+
+func (s *server) acknowledged() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.acks > 0
+}
+
+// allRuns returns the runs so far.
+func (s *server) allRuns() []run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]run{}, s.runs...)
+}
+
+// ServeHTTP implements http.Handler.
+func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Instance-Id", s.id)
+	if r.URL.Path == "/health" {
+		return
+	}
+	id := r.Header.Get("Request-Id")
+	w.Header().Set("Request-Id", id)
+	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != s.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		// An incomplete request is not run.
+		return
+	}
+	number := s.begin(r, id, body)
+	if s.answer != nil && s.answer(w, r, body) {
+		return
+	}
+	if !s.wait(r) {
+		w.WriteHeader(http.StatusGatewayTimeout)
+		return
+	}
+	s.finish(number)
+	w.Header().Set("Response-Signature", "s-"+id)
+	_, _ = io.WriteString(w, "answer to "+id)
+}
+
+// begin records a run and returns its number.
+func (s *server) begin(r *http.Request, id string, body []byte) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs = append(s.runs, run{
+		at:     time.Now(),
+		id:     id,
+		method: r.Method,
+		target: r.RequestURI,
+		body:   body,
+	})
+	return len(s.runs) - 1
+}
+
+// finish records that a run has come to its end.
+func (s *server) finish(number int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs[number].finished = true
+}
+
+// wait works on a request, and reports whether it came to its end.
+func (s *server) wait(r *http.Request) bool {
+	milliseconds, err := strconv.Atoi(r.Header.Get("Deadline-Ms"))
+	if err != nil {
+		milliseconds = maxDeadlineMilliseconds
+	}
+	left := r.Context().Done()
+	if s.finishes {
+		left = nil
+	}
+	select {
+	case <-time.After(s.work):
+		return true
+	case <-time.After(time.Duration(milliseconds) * time.Millisecond):
+	case <-left:
+	}
+	return false
+}
+
+// maxDeadlineMilliseconds is the deadline of a request that names none.
+const maxDeadlineMilliseconds = 60000
