Review: a refused connection to a living keeper lets two keepers grant a tenant's usage cap

Case 7 (QUOTA). Tried: each of six machines cut off with refused connections, four times for 0.8 s, beside a tenant that sends 7.5 times its usual.

--- a/review/standin2/fleet.go
+++ b/review/standin2/fleet.go
@@ -96,6 +96,21 @@
 platform.blob-mb-s=80.0
 `
 
+// started holds the machines with processes, which killAll ends.
+var started struct {
+	mu       sync.Mutex
+	machines map[*machine]bool
+}
+
+// killAll ends all processes that were started.
+func killAll() {
+	started.mu.Lock()
+	defer started.mu.Unlock()
+	for m := range started.machines {
+		m.signal(syscall.SIGKILL)
+	}
+}
+
 // start starts the process with the command of the deploy file.
 func (m *machine) start() error {
 	path := filepath.Join(m.dir, m.name+".conf")
@@ -115,6 +130,12 @@
 	if err := command.Start(); err != nil {
 		return err
 	}
+	started.mu.Lock()
+	if started.machines == nil {
+		started.machines = map[*machine]bool{}
+	}
+	started.machines[m] = true
+	started.mu.Unlock()
 	exited := make(chan struct{})
 	m.mu.Lock()
 	m.command = command
@@ -189,6 +210,22 @@
 	machines []*machine
 	dir      string
 	version  int
+	// tenants are those of the manifest; none by default.
+	tenants []tenant
+	// links are the links between the machines, if startLinks was called.
+	links []*link
+
+	mu sync.Mutex
+	// cut is the machine that is cut off, or nil.
+	cut *machine
+}
+
+// tenant is a tenant of the manifest.
+type tenant struct {
+	Name  string   `json:"name"`
+	Keys  []string `json:"api-keys"`
+	Rate  float64  `json:"rate-per-s"`
+	Burst float64  `json:"burst"`
 }
 
 // route is a route of the manifest.
@@ -226,7 +263,7 @@
 }
 
 func isFree(ip string) bool {
-	for _, port := range []string{inboundPort, serverPort, readyPort, requestPort, heartbeatPort, ":7620", ":7621"} {
+	for _, port := range []string{inboundPort, serverPort, readyPort, requestPort, heartbeatPort, peerPort, ":7621", linkPort} {
 		listener, err := net.Listen("tcp", ip+port)
 		if err != nil {
 			return false
@@ -284,12 +321,16 @@
 			services = append(services, map[string]any{"name": m.server.service, "health-path": "/health", "max-connections": 1894})
 		}
 	}
-	body, _ := json.Marshal(map[string]any{
+	manifest := map[string]any{
 		"version":  f.version,
 		"services": services,
 		"limits":   map[string]any{"max-header-bytes": 16384, "max-body-bytes": 67108864, "header-timeout": "3000ms", "idle-timeout": "15000ms"},
 		"hosts":    []any{map[string]any{"host": host, "paths": routes}},
-	})
+	}
+	if len(f.tenants) > 0 {
+		manifest["tenants"] = f.tenants
+	}
+	body, _ := json.Marshal(manifest)
 	f.store.Put("op", "config", body)
 }
 
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -6,6 +6,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // The exit statuses of a case.
@@ -18,6 +20,7 @@
 // cases holds the cases by their folder's name.
 var cases = map[string]func(*record, bool) (broken bool, err error){
 	"6": playPartialBodies,
+	"7": playHolders,
 }
 
 func main() {
@@ -36,6 +39,7 @@
 		return statusNotRun
 	}
 	defer log.close()
+	endWithSignal()
 	trouble := os.Getenv("TROUBLE") != "0"
 	log.printf("case %s, with the disruption: %t", arguments[0], trouble)
 	broken, err := cases[arguments[0]](log, trouble)
@@ -49,3 +53,14 @@
 	}
 	return statusHeld
 }
+
+// endWithSignal ends the processes that were started if this one is ended by a signal.
+func endWithSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		killAll()
+		os.Exit(statusNotRun)
+	}()
+}
