Review: a leaving that only killed processes kept is forgotten

Tried: the store down for 4.5 s, a server that leaves, all processes killed before the store is back, a late heartbeat, false answers at the health path for 6 s.

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -21,6 +21,7 @@
 var cases = map[string]func(*record, bool) (broken bool, err error){
 	"6": playPartialBodies,
 	"7": playHolders,
+	"8": playForgotten,
 }
 
 func main() {
--- a/review/standin2/server.go
+++ b/review/standin2/server.go
@@ -40,13 +40,18 @@
 	listener net.Listener
 	http     *http.Server
 	stop     chan struct{}
-
-	mu       sync.Mutex
-	born     time.Time
-	state    string
-	sequence int
-	acks     int
-	runs     []run
+	// closeOnce guards stop.
+	closeOnce sync.Once
+
+	mu   sync.Mutex
+	born time.Time
+	left bool
+	// liesUntil is until when the server answers at its health path that it serves.
+	liesUntil time.Time
+	beating   chan struct{}
+	sequence  int
+	acks      int
+	runs      []run
 }
 
 func newServer(id, service, address string) (*server, error) {
@@ -60,9 +65,9 @@
 		address:  address,
 		listener: listener,
 		work:     workDuration,
-		state:    "ready",
 		born:     time.Now(),
 		stop:     make(chan struct{}),
+		beating:  make(chan struct{}),
 	}
 	s.http = &http.Server{
 		Handler: s,
@@ -71,9 +76,12 @@
 	return s, nil
 }
 
+// close ends the server.
 func (s *server) close() {
-	close(s.stop)
-	_ = s.http.Close()
+	s.closeOnce.Do(func() {
+		close(s.stop)
+		_ = s.http.Close()
+	})
 }
 
 // startHeartbeats sends a heartbeat each interval.
@@ -84,22 +92,51 @@
 			select {
 			case <-s.stop:
 				return
+			case <-s.beating:
+				return
 			case <-time.After(heartbeatInterval):
 			}
 		}
 	}()
 }
 
+// stopHeartbeats ends the heartbeats.
+func (s *server) stopHeartbeats() {
+	close(s.beating)
+}
+
 // heartbeat sends the next heartbeat, and returns an error unless it was acknowledged.
 func (s *server) heartbeat() error {
+	return s.send(http.MethodPut, s.nextHeartbeat())
+}
+
+// nextHeartbeat returns the body of the next heartbeat, which may be sent late.
+func (s *server) nextHeartbeat() string {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.sequence++
-	body := fmt.Sprintf(`{"address":%q,"born":%d,"info":{"service":%q,"version":"v1","zone":"mu-north-a","slots":299},"status":{"state":%q,"sequence":%d,"cold-remaining":"0ms"}}`,
-		s.address, s.born.UnixMilli(), s.service, s.state, s.sequence)
-	s.mu.Unlock()
-	return s.send(http.MethodPut, body)
+	return fmt.Sprintf(`{"address":%q,"born":%d,"info":{"service":%q,"version":"v1","zone":"mu-north-a","slots":299},"status":{"state":"ready","sequence":%d,"cold-remaining":"0ms"}}`,
+		s.address, s.born.UnixMilli(), s.service, s.sequence)
+}
+
+// lie makes the server's answers at its health path false for a time.
+func (s *server) lie(duration time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.liesUntil = time.Now().Add(duration)
+}
+
+// healthStatus returns the status at the health path.
+func (s *server) healthStatus() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.left && time.Now().After(s.liesUntil) {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusOK
 }
 
+// send reports to the node beside the server: PUT is a heartbeat, DELETE says that it leaves.
 func (s *server) send(method, body string) error {
 	request, err := http.NewRequest(method, "http://"+s.report+"/instances/"+s.id, bytes.NewBufferString(body))
 	if err != nil {
@@ -120,6 +157,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.acks++
+	s.left = s.left || method == http.MethodDelete
 	return nil
 }
 
@@ -140,6 +178,7 @@
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Instance-Id", s.id)
 	if r.URL.Path == "/health" {
+		w.WriteHeader(s.healthStatus())
 		return
 	}
 	id := r.Header.Get("Request-Id")
