--- a/review/standin2/fleet.go
+++ b/review/standin2/fleet.go
@@ -33,6 +33,9 @@
 	pollInterval = 20 * time.Millisecond
 )
 
+// zones are the zones of the machines, in turn.
+var zones = []string{"mu-north-a", "mu-north-b"}
+
 // machine is a process of the system with the backend server beside it.
 type machine struct {
 	name    string
@@ -269,14 +272,14 @@
 		return nil, err
 	}
 	for i, service := range services {
-		backend, err := newServer(fmt.Sprintf("i-%d", i+1), service, ips[i]+serverPort)
+		backend, err := newServer(fmt.Sprintf("i-%d", i+1), service, zones[i%len(zones)], ips[i]+serverPort)
 		if err != nil {
 			return nil, err
 		}
 		m := &machine{
 			name:    fmt.Sprintf("sidecar-%d", i+1),
 			ip:      ips[i],
-			zone:    []string{"mu-north-a", "mu-north-b"}[i%2],
+			zone:    zones[i%len(zones)],
 			server:  backend,
 			dir:     dir,
 			storeAt: string(store.Address()),
--- a/review/standin2/server.go
+++ b/review/standin2/server.go
@@ -16,11 +16,9 @@
 
 // run is a request that a server began to work on.
 type run struct {
-	at     time.Time
-	id     string
-	method string
-	target string
-	body   []byte
+	at   time.Time
+	id   string
+	body []byte
 	// finished is set once the work has come to its end.
 	finished bool
 }
@@ -30,17 +28,17 @@
 	id      string
 	service string
 	address string
-	report  string
-	work    time.Duration
+	zone    string
+	// report is the address that gets the heartbeats.
+	report string
 	// finishes is set for a server that doesn't drop a request whose connection is closed.
 	finishes bool
-	// answer replaces the usual answer, if it is set and returns true.
-	answer func(w http.ResponseWriter, r *http.Request, body []byte) bool
 
 	listener net.Listener
 	http     *http.Server
-	stop     chan struct{}
-	// closeOnce guards stop.
+	// beating is closed to end the heartbeats, and stop when the server ends.
+	beating   chan struct{}
+	stop      chan struct{}
 	closeOnce sync.Once
 
 	mu   sync.Mutex
@@ -48,13 +46,14 @@
 	left bool
 	// liesUntil is until when the server answers at its health path that it serves.
 	liesUntil time.Time
-	beating   chan struct{}
 	sequence  int
-	acks      int
-	runs      []run
+	// acks counts the reports that were acknowledged.
+	acks int
+	runs []run
 }
 
-func newServer(id, service, address string) (*server, error) {
+// newServer starts a server.
+func newServer(id, service, zone, address string) (*server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
@@ -63,8 +62,8 @@
 		id:       id,
 		service:  service,
 		address:  address,
+		zone:     zone,
 		listener: listener,
-		work:     workDuration,
 		born:     time.Now(),
 		stop:     make(chan struct{}),
 		beating:  make(chan struct{}),
@@ -115,8 +114,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sequence++
-	return fmt.Sprintf(`{"address":%q,"born":%d,"info":{"service":%q,"version":"v1","zone":"mu-north-a","slots":299},"status":{"state":"ready","sequence":%d,"cold-remaining":"0ms"}}`,
-		s.address, s.born.UnixMilli(), s.service, s.sequence)
+	return fmt.Sprintf(`{"address":%q,"born":%d,"info":{"service":%q,"version":"v1","zone":%q,"slots":299},"status":{"state":"ready","sequence":%d,"cold-remaining":"0ms"}}`,
+		s.address, s.born.UnixMilli(), s.service, s.zone, s.sequence)
 }
 
 // lie makes the server's answers at its health path false for a time.
@@ -192,7 +191,7 @@
 		// An incomplete request is not run.
 		return
 	}
-	number := s.begin(r, id, body)
+	number := s.begin(id, body)
 	if !s.wait(r) {
 		w.WriteHeader(http.StatusGatewayTimeout)
 		return
@@ -203,15 +202,13 @@
 }
 
 // begin records a run and returns its number.
-func (s *server) begin(r *http.Request, id string, body []byte) int {
+func (s *server) begin(id string, body []byte) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.runs = append(s.runs, run{
-		at:     time.Now(),
-		id:     id,
-		method: r.Method,
-		target: r.RequestURI,
-		body:   body,
+		at:   time.Now(),
+		id:   id,
+		body: body,
 	})
 	return len(s.runs) - 1
 }
@@ -234,7 +231,7 @@
 		left = nil
 	}
 	select {
-	case <-time.After(s.work):
+	case <-time.After(workDuration):
 		return true
 	case <-time.After(time.Duration(milliseconds) * time.Millisecond):
 	case <-left:
