Take no answer without a length that a reset has cut off during an upload

Callers saw: a server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written.

Cause: the write of the upload fails with the error of the reset, which the kernel reports once. The reader, which looks for an early answer after a failed write, then reads the received part and an end of file. To a body that ends when the connection closes, that is its end.

Change: after a request that could not be written completely, an answer without a length is not complete. An end of file alone can't be told from a reset then. Early answers with a length or in chunks are delivered as before.

TestWholeAnswerBeforeAResetIsDelivered passed before and after. Both pass 5 of 5 times with -race.

--- a/internal/request/backend/connection.go
+++ b/internal/request/backend/connection.go
@@ -47,6 +47,9 @@
 	reader  *bufio.Reader
 	writer  *bufio.Writer
 	written *writeCounter
+	// writeFailed is set if the current request could not be written completely. The error of a
+	// reset is then used up, so that the reader gets an end of file in its place.
+	writeFailed bool
 	// usage is the memory of the answers of the current exchange.
 	usage     *memory.Usage
 	idleSince time.Time
@@ -102,6 +105,7 @@
 	if err == nil {
 		err = c.writer.Flush()
 	}
+	c.writeFailed = err != nil
 	return c.written.bytes > 0, err
 }
 
@@ -111,7 +115,8 @@
 	return c.readFramed(response, skipBody, limit, false)
 }
 
-// readUnframed is like read but accepts a body that ends when the connection is closed.
+// readUnframed is like read but accepts a body that ends when the connection is closed, unless the
+// request could not be written completely.
 func (c *connection) readUnframed(response *fasthttp.Response, skipBody bool, limit int) error {
 	return c.readFramed(response, skipBody, limit, true)
 }
@@ -126,7 +131,7 @@
 		return nil
 	}
 	length := response.Header.ContentLength()
-	if length == lengthUntilClose && !unframed {
+	if length == lengthUntilClose && (!unframed || c.writeFailed) {
 		return errNoLength
 	}
 	body, err := c.readBody(response, length, limit)
--- /dev/null
+++ b/internal/request/backend/reset_test.go
@@ -0,0 +1,112 @@
+package backend
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"lagoonbarrow"
+	"lagoonbarrow/platform"
+)
+
+// uploadBytes is the size of a request body that doesn't fit into the buffers of a connection.
+const uploadBytes = 16 << 20
+
+// answerAndReset answers as soon as a request begins to arrive and resets the connection while the
+// rest is being sent.
+func answerAndReset(answer string) func(*scriptedServer, net.Conn, *bufio.Reader) {
+	return func(_ *scriptedServer, c net.Conn, in *bufio.Reader) {
+		if _, err := in.Peek(1); err != nil {
+			return
+		}
+		_, _ = c.Write([]byte(answer))
+		// The client is in the middle of its write by then.
+		time.Sleep(10 * time.Millisecond)
+		_ = c.(*net.TCPConn).SetLinger(0)
+	}
+}
+
+// Guards against a part of a body that is passed on as a whole answer: a write that fails because
+// the server has reset the connection leaves the reader an end of file instead of the reset.
+func TestAnswerWithoutALengthBeforeAResetIsNotWhole(t *testing.T) {
+	const names = "Request-Id: r1\r\nResponse-Signature: s\r\nLagoonbarrow-Outcome: done\r\n"
+	tests := []struct {
+		name   string
+		answer string
+	}{
+		{
+			name:   "part of the body",
+			answer: "HTTP/1.1 200 OK\r\n" + names + "\r\npart",
+		},
+		{
+			name:   "no body",
+			answer: "HTTP/1.1 200 OK\r\n" + names + "\r\n",
+		},
+		{
+			name:   "announced close",
+			answer: "HTTP/1.1 200 OK\r\nConnection: close\r\n" + names + "\r\npart",
+		},
+		{
+			name:   "old version",
+			answer: "HTTP/1.0 200 OK\r\n" + names + "\r\npart",
+		},
+		{
+			name:   "failure",
+			answer: "HTTP/1.1 500 E\r\n" + names + "\r\npart",
+		},
+		{
+			name:   "after interim",
+			answer: "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n" + names + "\r\npart",
+		},
+		{
+			name:   "part of a declared length",
+			answer: "HTTP/1.1 200 OK\r\n" + names + "Content-Length: 5\r\n\r\npart",
+		},
+		{
+			name:   "part of the chunks",
+			answer: "HTTP/1.1 200 OK\r\n" + names + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := startScriptedServer(t, answerAndReset(test.answer))
+			client := newClient(t, s, func(config *Config) { config.Headers = platform.Headers() })
+			call := newUpload()
+			for name, answer := range map[string]*lagoonbarrow.Answer{
+				"relay":  client.Relay(context.Background(), call, farDeadline()),
+				"native": client.Run(context.Background(), call, farDeadline()),
+			} {
+				if answer.Outcome != lagoonbarrow.OutcomeUnknown || !answer.SentToServer {
+					t.Errorf("%s: outcome %s, status %d, body %q", name, answer.Outcome, answer.Status, answer.Body)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a whole answer to an upload that is lost because the server then resets the
+// connection.
+func TestWholeAnswerBeforeAResetIsDelivered(t *testing.T) {
+	const head = "HTTP/1.1 413 Too Large\r\nRequest-Id: r1\r\n"
+	for _, answer := range []string{
+		head + "Content-Length: 5\r\n\r\nwhole",
+		head + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+	} {
+		s := startScriptedServer(t, answerAndReset(answer))
+		client := newClient(t, s, func(config *Config) { config.Headers = platform.Headers() })
+		got := client.Relay(context.Background(), newUpload(), farDeadline())
+		if got.Outcome != lagoonbarrow.OutcomeDone || got.Status != http.StatusRequestEntityTooLarge || string(got.Body) != "whole" {
+			t.Errorf("%q: outcome %s, status %d, body %q", answer, got.Outcome, got.Status, got.Body)
+		}
+	}
+}
+
+func newUpload() *lagoonbarrow.Call {
+	call := newCall(http.MethodPost)
+	call.Host = "one.example"
+	call.Body = make([]byte, uploadBytes)
+	return call
+}
