--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -11,7 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"lagoonbarrow"
-	"lagoonbarrow/internal/connection/statusline"
+	"lagoonbarrow/internal/connection/responsehead"
 )
 
 // requestTimeout bounds one request to a node's administration API.
@@ -60,7 +60,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return statusline.NewConn(conn), nil
+			return responsehead.NewConn(conn), nil
 		},
 	}
 }
--- a/internal/connection/statusline/statusline_test.go
+++ b/internal/connection/responsehead/responsehead_test.go
@@ -1,4 +1,4 @@
-package statusline
+package responsehead
 
 import (
 	"bufio"
--- a/internal/process/platform/exchange.go
+++ b/internal/process/platform/exchange.go
@@ -8,7 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"lagoonbarrow"
-	"lagoonbarrow/internal/connection/statusline"
+	"lagoonbarrow/internal/connection/responsehead"
 )
 
 const (
@@ -44,7 +44,7 @@
 					cause: err,
 				}
 			}
-			return statusline.NewConn(connection), nil
+			return responsehead.NewConn(connection), nil
 		},
 		MaxIdleConnDuration: maxIdleTime,
 		MaxResponseBodySize: maxResponseBytes,
--- a/internal/request/backend/connection.go
+++ b/internal/request/backend/connection.go
@@ -10,7 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"lagoonbarrow"
-	"lagoonbarrow/internal/connection/statusline"
+	"lagoonbarrow/internal/connection/responsehead"
 	"lagoonbarrow/internal/process/memory"
 )
 
@@ -160,7 +160,7 @@
 // status that HTTP doesn't allow.
 func (c *connection) readHeader(header *fasthttp.ResponseHeader) error {
 	for range maxInterimHeaders {
-		if err := statusline.Check(c.reader); err != nil {
+		if err := responsehead.Check(c.reader); err != nil {
 			return err
 		}
 		if err := header.Read(c.reader); err != nil {
