Take no response with a blank or a control byte in the name of a field

Callers saw: a failing server sent an answer in whose head the name of a field held a blank or a control byte.

Cause: fasthttp reads heads leniently, and nothing checked them before. A blank in the middle of a name is passed on; one before the colon is trimmed, so that "Content-Length : 1" framed the body and "Not-Executed : 1" counted as the promise that the request was not run; a line that begins with a blank continues the value before it. An empty line with a bare line feed ends the head, also between lines that end with CRLF: the name "\nX-Name" turned the rest of the head into the body.

Change: responsehead scans whole heads, interim ones too, before fasthttp reads them. A name is a token directly followed by a colon. Folded lines are refused as well, as RFC 9112 (5.2) allows, since they can't be told from a name that begins with a blank. A bare line feed ends a head only if no line before it ended with CRLF; it still ends lines. All users of the package have it: answers and health probes of servers, both clients of the platform's store, the operator's command. The outcome is unknown, or an error, and the connection is closed. The tests of invalid statuses there share their stand-in with the new ones and check what they did.

--- a/internal/cli/client_test.go
+++ b/internal/cli/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"strconv"
 	"testing"
 
 	"github.com/valyala/fasthttp"
@@ -15,31 +16,47 @@
 func TestInvalidStatusOfANodeIsAnError(t *testing.T) {
 	for _, status := range []string{"000", "099", "600", "999", "20", "2000", "abc"} {
 		t.Run(status, func(t *testing.T) {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer listener.Close()
-			go func() {
-				conn, err := listener.Accept()
-				if err != nil {
-					return
-				}
-				defer conn.Close()
-				// The client repeats a request whose response it could not read.
-				_ = listener.Close()
-				buffer := make([]byte, 4<<10)
-				_, _ = conn.Read(buffer)
-				_, _ = io.WriteString(conn, "HTTP/1.1 "+status+" OK\r\nContent-Length: 2\r\n\r\n{}")
-			}()
-			client := &adminClient{
-				address: listener.Addr().String(),
-				http:    newHTTPClient(),
-			}
-			response, err := client.call(fasthttp.MethodGet, "/status", nil, lagoonbarrow.HeaderField{})
-			if err == nil {
-				t.Errorf("response %+v", response)
-			}
+			checkNoResponse(t, "HTTP/1.1 "+status+" OK\r\nContent-Length: 2\r\n\r\n{}")
 		})
 	}
 }
+
+// Guards against an operator's command that takes a response with a blank or a control byte in a
+// field name for a success.
+func TestInvalidFieldNameOfANodeIsAnError(t *testing.T) {
+	for _, line := range []string{"X Y: z\r\n", "X : y\r\n", " X: y\r\n", "X\x01: y\r\n", "\nX: y\r\n"} {
+		t.Run(strconv.Quote(line), func(t *testing.T) {
+			checkNoResponse(t, "HTTP/1.1 200 OK\r\nY: z\r\n"+line+"Content-Length: 2\r\n\r\n{}")
+		})
+	}
+}
+
+// checkNoResponse fails unless a call that gets the bytes fails.
+func checkNoResponse(t *testing.T, bytes string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		// The client repeats a request whose response it could not read.
+		_ = listener.Close()
+		buffer := make([]byte, 4<<10)
+		_, _ = conn.Read(buffer)
+		_, _ = io.WriteString(conn, bytes)
+	}()
+	client := &adminClient{
+		address: listener.Addr().String(),
+		http:    newHTTPClient(),
+	}
+	response, err := client.call(fasthttp.MethodGet, "/status", nil, lagoonbarrow.HeaderField{})
+	if err == nil {
+		t.Errorf("response %+v", response)
+	}
+}
--- a/internal/connection/responsehead/conn.go
+++ b/internal/connection/responsehead/conn.go
@@ -1,22 +1,16 @@
 package responsehead
 
 import (
-	"bytes"
 	"net"
-
-	"lagoonbarrow"
 )
 
 // Conn is a connection of an HTTP client that reads a whole response before it writes the next
-// request. Read returns ErrInvalidStatus instead of a response with an invalid status.
+// request. Read returns ErrInvalidStatus or ErrInvalidField instead of a response with an invalid
+// head.
 type Conn struct {
 	net.Conn
-	// done is set once the status of the final response has been read.
-	done bool
-	// interim is set while the head of an interim response is read.
-	interim bool
-	// line holds the start of the current line until its status is known.
-	line []byte
+	// head is the head of the next final response or of an interim one before it.
+	head scanner
 }
 
 // NewConn returns a connection that checks the responses.
@@ -28,44 +22,31 @@
 
 // Write writes a part of a request, whose response comes next.
 func (c *Conn) Write(data []byte) (int, error) {
-	c.done = false
-	c.interim = false
-	c.line = c.line[:0]
+	c.head = scanner{}
 	return c.Conn.Write(data)
 }
 
 // Read reads a part of a response.
 func (c *Conn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
-	for i := 0; i < n && !c.done; i++ {
-		if checkErr := c.check(data[i]); checkErr != nil {
-			return 0, checkErr
-		}
+	if checkErr := c.check(data[:n]); checkErr != nil {
+		return 0, checkErr
 	}
 	return n, err
 }
 
-// check processes one byte of a head.
-func (c *Conn) check(next byte) error {
-	if len(c.line) < maxBytes {
-		c.line = append(c.line, next)
-	}
-	isEnd := next == '\n'
-	if !isEnd && (c.interim || len(c.line) < maxBytes) {
-		return nil
-	}
-	line := bytes.TrimRight(c.line, "\r\n")
-	c.line = c.line[:0]
-	switch {
-	case c.interim:
-		c.interim = len(line) > 0
-		return nil
-	case len(line) == 0:
-		// fasthttp skips empty lines before a status line.
-		return nil
+// check scans the part of the data that belongs to a head.
+func (c *Conn) check(data []byte) error {
+	for _, next := range data {
+		if c.head.place == placeEnd && c.head.isFinal() {
+			return nil
+		}
+		if c.head.place == placeEnd {
+			c.head = scanner{}
+		}
+		if err := c.head.scan(next); err != nil {
+			return err
+		}
 	}
-	status, err := parse(line)
-	c.interim = status < lagoonbarrow.StatusFirstFinal
-	c.done = !c.interim
-	return err
+	return nil
 }
--- a/internal/connection/responsehead/head.go
+++ b/internal/connection/responsehead/head.go
@@ -1,10 +1,14 @@
-// Package responsehead checks the status lines of HTTP responses before fasthttp reads them.
-// fasthttp passes on any three digits, and its responses show status 000 as 200.
+// Package responsehead checks the heads of HTTP responses before an HTTP library reads them. Such
+// libraries are lenient, and a response that they read leniently isn't the one that was sent:
+// fasthttp passes on any three digits as a status and shows 000 as 200, it trims or passes on
+// blanks in the names of fields, and it takes an empty line with a bare line feed for the end of a
+// head whose other lines end with CRLF.
 package responsehead
 
 import (
 	"bufio"
 	"bytes"
+	"strings"
 
 	"github.com/pkg/errors"
 
@@ -12,40 +16,191 @@
 )
 
 const (
-	// maxBytes is the length after which a line is complete enough to have its status.
-	maxBytes = 64
+	// maxStatusLineBytes is the length after which a status line is complete enough to have its
+	// status.
+	maxStatusLineBytes = 64
 	// firstStatus is the lowest status. Interim responses have those up to 199.
 	firstStatus = 100
 	// switchingProtocols is answered to requests that this project doesn't make.
 	switchingProtocols = 101
 )
 
-// ErrInvalidStatus is returned for a response whose status line has no status that HTTP allows.
-var ErrInvalidStatus = errors.Wrap(lagoonbarrow.ErrInvalid, "responsehead: invalid status")
+var (
+	// ErrInvalidStatus is returned for a response whose status line has no status that HTTP allows.
+	ErrInvalidStatus = errors.Wrap(lagoonbarrow.ErrInvalid, "responsehead: invalid status")
+	// ErrInvalidField is returned for a response with a field line that has no valid name, is folded,
+	// or is an empty line that doesn't end like the lines before it.
+	ErrInvalidField = errors.Wrap(lagoonbarrow.ErrInvalid, "responsehead: invalid field line")
+)
 
-// Check returns ErrInvalidStatus if the next response or interim response of the reader has an
-// invalid status. It consumes nothing.
+// Check reads ahead to the end of the next head of the reader, which may be that of an interim
+// response, and consumes nothing. It returns ErrInvalidStatus or ErrInvalidField for an invalid
+// head, bufio.ErrBufferFull for one that exceeds the reader's buffer, and otherwise the error of
+// the reader if the head is incomplete.
 func Check(reader *bufio.Reader) error {
-	for size := 1; ; size = reader.Buffered() + 1 {
-		if _, err := reader.Peek(size); err != nil {
+	var s scanner
+	for scanned := 0; ; {
+		if _, err := reader.Peek(scanned + 1); err != nil {
 			return err
 		}
 		buffered, err := reader.Peek(reader.Buffered())
 		if err != nil {
 			return err
 		}
-		line := bytes.TrimLeft(buffered, "\r\n")
-		if end := bytes.IndexByte(line, '\n'); end >= 0 || len(line) >= maxBytes {
-			_, err := parse(line)
-			return err
+		for _, next := range buffered[scanned:] {
+			if err := s.scan(next); err != nil {
+				return err
+			}
+			if s.place == placeEnd {
+				return nil
+			}
+		}
+		scanned = len(buffered)
+	}
+}
+
+// place is where in a head the next byte belongs.
+type place int
+
+const (
+	// placeStatusLine is the status line, or an empty line before it.
+	placeStatusLine place = iota
+	placeLineStart
+	placeName
+	placeValue
+	// placeLastFeed is behind a carriage return at the start of a line.
+	placeLastFeed
+	// placeEnd is behind the head.
+	placeEnd
+)
+
+// scanner checks the bytes of one head. The zero value is at its start.
+type scanner struct {
+	place place
+	// statusLine is the start of the status line.
+	statusLine [maxStatusLineBytes]byte
+	length     int
+	// status is 0 until it has been read.
+	status int
+	// previous is the last byte of the line so far.
+	previous byte
+	// hasCRLF is set once a line has ended with CRLF instead of a bare line feed.
+	hasCRLF bool
+}
+
+// isFinal reports whether the head is that of a final response. Its status must have been read.
+func (s *scanner) isFinal() bool {
+	return s.status >= lagoonbarrow.StatusFirstFinal
+}
+
+// scan checks the next byte. It returns ErrInvalidStatus or ErrInvalidField.
+func (s *scanner) scan(next byte) error {
+	switch s.place {
+	case placeStatusLine:
+		return s.scanStatusLine(next)
+	case placeLineStart:
+		return s.scanLineStart(next)
+	case placeName:
+		return s.scanName(next)
+	case placeValue:
+		s.scanValue(next)
+	case placeLastFeed:
+		if next != '\n' {
+			return ErrInvalidField
 		}
+		s.place = placeEnd
+	}
+	return nil
+}
+
+func (s *scanner) scanStatusLine(next byte) error {
+	if next == '\n' {
+		return s.endStatusLine()
+	}
+	s.previous = next
+	if s.length == maxStatusLineBytes {
+		return nil
+	}
+	s.statusLine[s.length] = next
+	s.length++
+	if s.length < maxStatusLineBytes {
+		return nil
+	}
+	return s.parseStatusLine()
+}
+
+// endStatusLine ends the status line, or an empty line before it, which fasthttp skips.
+func (s *scanner) endStatusLine() error {
+	line := bytes.TrimRight(s.statusLine[:s.length], "\r")
+	if len(line) == 0 {
+		s.length = 0
+		return nil
+	}
+	s.endLine()
+	return s.parseStatusLine()
+}
+
+func (s *scanner) parseStatusLine() error {
+	if s.status != 0 {
+		return nil
+	}
+	var err error
+	s.status, err = parseStatus(bytes.TrimRight(s.statusLine[:s.length], "\r"))
+	return err
+}
+
+func (s *scanner) scanLineStart(next byte) error {
+	switch {
+	case next == '\r':
+		s.place = placeLastFeed
+	case next == '\n' && !s.hasCRLF:
+		s.place = placeEnd
+	case isNameByte(next):
+		s.place = placeName
+	default:
+		return ErrInvalidField
+	}
+	return nil
+}
+
+func (s *scanner) scanName(next byte) error {
+	switch {
+	case next == ':':
+		s.place = placeValue
+		s.previous = next
+	case !isNameByte(next):
+		return ErrInvalidField
+	}
+	return nil
+}
+
+// scanValue passes over a value, whose bytes fasthttp and net/http check.
+func (s *scanner) scanValue(next byte) {
+	if next == '\n' {
+		s.endLine()
+		return
+	}
+	s.previous = next
+}
+
+func (s *scanner) endLine() {
+	s.hasCRLF = s.hasCRLF || s.previous == '\r'
+	s.place = placeLineStart
+}
+
+// isNameByte reports whether the name of a field may contain a byte (RFC 9110, section 5.6.2).
+func isNameByte(b byte) bool {
+	switch {
+	case b >= '0' && b <= '9', b >= 'a' && b <= 'z', b >= 'A' && b <= 'Z':
+		return true
+	default:
+		return strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
 	}
 }
 
-// parse returns the status of a line, of which further bytes may follow.
-func parse(line []byte) (int, error) {
-	line, _, _ = bytes.Cut(line, []byte("\n"))
-	_, rest, _ := bytes.Cut(bytes.TrimSuffix(line, []byte("\r")), []byte(" "))
+// parseStatus returns the status of a line, of which further bytes may follow.
+func parseStatus(line []byte) (int, error) {
+	_, rest, _ := bytes.Cut(line, []byte(" "))
 	digits, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
 	status := 0
 	for _, digit := range digits {
--- a/internal/process/platform/status_test.go
+++ b/internal/process/platform/status_test.go
@@ -12,36 +12,54 @@
 	"lagoonbarrow"
 )
 
+// writtenBody is the body of the response to a claim that was made.
+const writtenBody = `{"results":[{"outcome":"written","version":1}]}`
+
 // Guards against a response with an invalid status that counts as a success (000), and against a
 // claim that is taken for made.
 func TestInvalidStatusIsNoResponse(t *testing.T) {
-	const body = `{"results":[{"outcome":"written","version":1}]}`
 	for _, status := range []string{"000", "099", "600", "999", "20", "2000", "+20"} {
 		t.Run(status, func(t *testing.T) {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			checkNoResponse(t, "HTTP/1.1 "+status+"\r\nContent-Length: "+strconv.Itoa(len(writtenBody))+"\r\n\r\n"+writtenBody)
+		})
+	}
+}
+
+// Guards against a response with a blank or a control byte in a field name that is taken for a
+// claim that was made.
+func TestInvalidFieldNameIsNoResponse(t *testing.T) {
+	for _, line := range []string{"X Y: z\r\n", "X : y\r\n", " X: y\r\n", "\tX: y\r\n", "X\x01: y\r\n", "X\x7fY: z\r\n", "\nX: y\r\n"} {
+		t.Run(strconv.Quote(line), func(t *testing.T) {
+			checkNoResponse(t, "HTTP/1.1 200 OK\r\nY: z\r\n"+line+"Content-Length: "+strconv.Itoa(len(writtenBody))+"\r\n\r\n"+writtenBody)
+		})
+	}
+}
+
+// checkNoResponse fails unless the outcome of a claim that gets the bytes is unknown.
+func checkNoResponse(t *testing.T, bytes string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	go func() {
+		for {
+			conn, err := listener.Accept()
 			if err != nil {
-				t.Fatal(err)
+				return
 			}
-			defer func() { _ = listener.Close() }()
-			go func() {
-				for {
-					conn, err := listener.Accept()
-					if err != nil {
-						return
-					}
-					if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-						_, _ = conn.Write([]byte("HTTP/1.1 " + status + "\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body))
-					}
-					_ = conn.Close()
-				}
-			}()
-			client := New(Config{
-				Address: lagoonbarrow.Address(listener.Addr().String()),
-			})
-			defer func() { _ = client.Stop() }()
-			if err := put(client, "key", 0); !errors.Is(err, lagoonbarrow.ErrOutcomeUnknown) {
-				t.Errorf("error %v", err)
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				_, _ = conn.Write([]byte(bytes))
 			}
-		})
+			_ = conn.Close()
+		}
+	}()
+	client := New(Config{
+		Address: lagoonbarrow.Address(listener.Addr().String()),
+	})
+	defer func() { _ = client.Stop() }()
+	if err := put(client, "key", 0); !errors.Is(err, lagoonbarrow.ErrOutcomeUnknown) {
+		t.Errorf("error %v", err)
 	}
 }
--- /dev/null
+++ b/internal/request/backend/field_name_test.go
@@ -0,0 +1,137 @@
+package backend
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"lagoonbarrow"
+	"lagoonbarrow/platform"
+)
+
+// invalidFieldLines returns field lines whose name holds a blank or a control byte.
+func invalidFieldLines() []string {
+	lines := []string{
+		"Content-Length : 1\r\n",
+		"Content-Length\t: 1\r\n",
+		"Content Length: 1\r\n",
+		" Content-Length: 1\r\n",
+		"Transfer-Encoding : chunked\r\n",
+		"Not-Executed : 1\r\nLagoonbarrow-Outcome : not-run\r\n",
+		" : y\r\n",
+		" \r\n",
+		"\t\r\n",
+	}
+	controls := []byte{' ', 0x7f}
+	for control := byte(0); control < ' '; control++ {
+		controls = append(controls, control)
+	}
+	for _, control := range controls {
+		for _, name := range []string{"%cX-Name", "X%c-Name", "X-Name%c"} {
+			lines = append(lines, fmt.Sprintf(name+": y\r\n", control))
+		}
+	}
+	return lines
+}
+
+// Guards against an answer of a failing server in whose head a field name is invalid: it was
+// passed on with the line, or with a body that the line framed wrongly.
+func TestInvalidFieldNameIsNoAnswer(t *testing.T) {
+	const (
+		status = "HTTP/1.1 200 OK\r\n"
+		names  = "Request-Id: r1\r\nResponse-Signature: s\r\n"
+		length = "Content-Length: 2\r\n"
+		end    = "\r\nok"
+	)
+	for _, line := range invalidFieldLines() {
+		for position, answer := range map[string]string{
+			"first":          status + line + names + length + end,
+			"in the middle":  status + names + line + length + end,
+			"last":           status + names + length + line + end,
+			"without length": status + names + line + "Connection: close\r\n" + end,
+			"of interim":     "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n" + status + names + length + end,
+			"of refusal":     "HTTP/1.1 503 E\r\nNot-Executed: 1\r\nLagoonbarrow-Outcome: not-run\r\n" + line + "Content-Length: 0\r\n\r\n",
+		} {
+			t.Run(fmt.Sprintf("%q, %s", line, position), func(t *testing.T) {
+				s := startScriptedServer(t, respondWith(answer, true))
+				client := newClient(t, s, func(config *Config) { config.Headers = platform.Headers() })
+				checkCut(t, client, answer)
+				if kept := len(client.pool.idle); kept != 0 {
+					t.Errorf("%d connections are kept", kept)
+				}
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				defer cancel()
+				if health, err := client.Health(ctx, "/health"); err == nil {
+					t.Errorf("health status %d", health.Status)
+				}
+			})
+		}
+	}
+}
+
+// Guards against answers with unusual but valid field lines that are taken for invalid ones.
+func TestUnusualFieldLinesAreAnswers(t *testing.T) {
+	const name = "!#$%&'*+-.^_`|~09azAZ"
+	long := strings.Repeat("y", 8<<10)
+	tests := []struct {
+		line  string
+		name  string
+		value string
+	}{
+		{
+			line:  name + ": y",
+			name:  name,
+			value: "y",
+		},
+		{
+			line:  "X:y",
+			name:  "X",
+			value: "y",
+		},
+		{
+			line:  "X: \t y \t",
+			name:  "X",
+			value: "y",
+		},
+		{
+			line:  "X: a b\tc: d",
+			name:  "X",
+			value: "a b\tc: d",
+		},
+		{
+			line:  "X: \xe4",
+			name:  "X",
+			value: "\xe4",
+		},
+		{
+			line: "X:",
+			name: "X",
+		},
+		{
+			line:  "X: " + long,
+			name:  "X",
+			value: long,
+		},
+	}
+	for _, test := range tests {
+		t.Run(fmt.Sprintf("%.30q", test.line), func(t *testing.T) {
+			s := startScriptedServer(t, respondWith("HTTP/1.1 200 OK\r\n"+test.line+"\r\nRequest-Id: r1\r\nResponse-Signature: s\r\nContent-Length: 2\r\n\r\nok", false))
+			client := newClient(t, s, func(config *Config) { config.Headers = platform.Headers() })
+			call := newCall(http.MethodGet)
+			call.Host = "one.example"
+			answer := client.Relay(context.Background(), call, farDeadline())
+			if answer.Outcome != lagoonbarrow.OutcomeDone || string(answer.Body) != "ok" {
+				t.Fatalf("outcome %s, body %q", answer.Outcome, answer.Body)
+			}
+			for _, field := range answer.Header {
+				if strings.EqualFold(field.Name, test.name) && field.Value == test.value {
+					return
+				}
+			}
+			t.Errorf("headers %q", answer.Header)
+		})
+	}
+}
