Return no cut off answer to an upload from the caller client

Callers see: the client package takes the received part of an answer without a length for a complete one, if the connection is reset while the request is still being written.

Cause: as at the servers, the write uses up the error of the reset, and the read that net/http makes at the same time gets an end of file, which ends a body without a length.

Change: connections of the client package turn an end of file during a write, or after one that failed, into io.ErrUnexpectedEOF. The outcome is unknown then. The clients of the store, of the platform's API and of the operator's command use fasthttp, which reads no response after a write that failed; nothing was changed there.

--- /dev/null
+++ b/pkg/caller/connection.go
@@ -0,0 +1,55 @@
+package caller
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+)
+
+// connection is a connection of net/http to a node.
+type connection struct {
+	net.Conn
+	// sending is set while a part of a request is being written, and after a write that failed. The
+	// error of a reset may be used up by the write then, so that the reader gets an end of file in
+	// its place.
+	sending atomic.Bool
+}
+
+// newDial returns the function by which net/http opens connections.
+func newDial() func(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{
+		Timeout: dialTimeout,
+	}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &connection{
+			Conn: conn,
+		}, nil
+	}
+}
+
+// Write writes a part of a request.
+func (c *connection) Write(data []byte) (int, error) {
+	c.sending.Store(true)
+	n, err := c.Conn.Write(data)
+	if err == nil {
+		c.sending.Store(false)
+	}
+	return n, err
+}
+
+// Read reads a part of an answer. An end of file in the middle of a write is an unexpected one,
+// because net/http would take it for the end of an answer without a length.
+func (c *connection) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	if errors.Is(err, io.EOF) && c.sending.Load() {
+		return n, io.ErrUnexpectedEOF
+	}
+	return n, err
+}
--- a/pkg/caller/transport.go
+++ b/pkg/caller/transport.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strings"
@@ -30,12 +29,9 @@
 // newHTTPClient returns a client that neither follows redirects nor decompresses
 // bodies. Answers are returned as the backend server sent them.
 func newHTTPClient(connections int) *http.Client {
-	dialer := net.Dialer{
-		Timeout: dialTimeout,
-	}
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext:         newDial(),
 			MaxIdleConnsPerHost: connections,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
