Return no answer with an invalid field name from the caller client

Callers see: the client package returns answers in whose head the name of a field holds a blank, with that line, or with a body that begins in the middle of the head.

Cause: net/http keeps names with blanks as they are, so that "Content-Length : 1" doesn't frame the body, and takes an empty line with a bare line feed for the end of any head.

Change: connections of the client package scan the heads with responsehead. net/http may still write a request when its answer begins, so a write doesn't show where the next answer starts; the trace of the exchange says so, before it writes to a connection. responsehead.Responses is the part of its Conn that both use.

--- a/internal/connection/responsehead/conn.go
+++ b/internal/connection/responsehead/conn.go
@@ -4,13 +4,35 @@
 	"net"
 )
 
+// Responses checks the heads of one final response and of the interim responses before it. The zero
+// value is at their start.
+type Responses struct {
+	head scanner
+}
+
+// Scan checks the next part of what was received and passes over the body. It returns
+// ErrInvalidStatus or ErrInvalidField for an invalid head.
+func (r *Responses) Scan(data []byte) error {
+	for _, next := range data {
+		if r.head.place == placeEnd && r.head.isFinal() {
+			return nil
+		}
+		if r.head.place == placeEnd {
+			r.head = scanner{}
+		}
+		if err := r.head.scan(next); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Conn is a connection of an HTTP client that reads a whole response before it writes the next
 // request. Read returns ErrInvalidStatus or ErrInvalidField instead of a response with an invalid
 // head.
 type Conn struct {
 	net.Conn
-	// head is the head of the next final response or of an interim one before it.
-	head scanner
+	responses Responses
 }
 
 // NewConn returns a connection that checks the responses.
@@ -22,31 +44,15 @@
 
 // Write writes a part of a request, whose response comes next.
 func (c *Conn) Write(data []byte) (int, error) {
-	c.head = scanner{}
+	c.responses = Responses{}
 	return c.Conn.Write(data)
 }
 
 // Read reads a part of a response.
 func (c *Conn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
-	if checkErr := c.check(data[:n]); checkErr != nil {
+	if checkErr := c.responses.Scan(data[:n]); checkErr != nil {
 		return 0, checkErr
 	}
 	return n, err
 }
-
-// check scans the part of the data that belongs to a head.
-func (c *Conn) check(data []byte) error {
-	for _, next := range data {
-		if c.head.place == placeEnd && c.head.isFinal() {
-			return nil
-		}
-		if c.head.place == placeEnd {
-			c.head = scanner{}
-		}
-		if err := c.head.scan(next); err != nil {
-			return err
-		}
-	}
-	return nil
-}
--- a/pkg/caller/broken_answer_test.go
+++ b/pkg/caller/broken_answer_test.go
@@ -4,17 +4,21 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
+
+	"lagoonbarrow"
 )
 
 // uploadBytes is the size of a request body that doesn't fit into the buffers of a connection.
 const uploadBytes = 16 << 20
 
-// startNode starts a node that handles one connection with serve and then closes it.
+// startNode starts a node that handles each connection with serve and then closes it.
 func startNode(t *testing.T, serve func(conn *net.TCPConn, in *bufio.Reader)) (address string) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -23,12 +27,16 @@
 	}
 	t.Cleanup(func() { _ = listener.Close() })
 	go func() {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				serve(conn.(*net.TCPConn), bufio.NewReader(conn))
+			}()
 		}
-		defer func() { _ = conn.Close() }()
-		serve(conn.(*net.TCPConn), bufio.NewReader(conn))
 	}()
 	return listener.Addr().String()
 }
@@ -83,3 +91,85 @@
 		Body:   make([]byte, uploadBytes),
 	})
 }
+
+// Guards against an answer in whose head a field name holds a blank or a control byte: the line was
+// passed on, or ended the head, so that the body was not the server's.
+func TestInvalidFieldNameIsNoAnswer(t *testing.T) {
+	const (
+		status = "HTTP/1.1 200 OK\r\n"
+		names  = lagoonbarrow.HeaderOutcome + ": done\r\n"
+		length = "Content-Length: 2\r\n"
+		end    = "\r\nok"
+	)
+	for _, line := range []string{"X Name: y\r\n", "X-Name : y\r\n", " X-Name: y\r\n", "\tX-Name: y\r\n", "\nX-Name: y\r\n", "\x00X-Name: y\r\n", "X\x7f-Name: y\r\n", "X-Name\x01: y\r\n", "Content-Length : 1\r\n"} {
+		for position, answer := range map[string]string{
+			"first":          status + line + names + length + end,
+			"in the middle":  status + names + line + length + end,
+			"last":           status + names + length + line + end,
+			"without length": status + names + line + end,
+		} {
+			t.Run(fmt.Sprintf("%q, %s", line, position), func(t *testing.T) {
+				address := startNode(t, func(conn *net.TCPConn, in *bufio.Reader) {
+					if _, err := http.ReadRequest(in); err == nil {
+						_, _ = io.WriteString(conn, answer)
+					}
+				})
+				response, err := newClient(t, address).Do(context.Background(), Request{
+					Method: http.MethodPost,
+					Path:   "/resolutions",
+				})
+				if !errors.Is(err, ErrUnknown) {
+					t.Errorf("response %+v, error %v", response, err)
+				}
+			})
+		}
+	}
+}
+
+// Guards against an answer on a connection that was used before, which isn't checked.
+func TestInvalidFieldNameOfALaterAnswerIsNoAnswer(t *testing.T) {
+	const valid = "HTTP/1.1 200 OK\r\nLagoonbarrow-Outcome: done\r\nContent-Length: 2\r\n\r\nok"
+	answers := make(chan string, 3)
+	answers <- valid
+	answers <- valid
+	answers <- strings.Replace(valid, "Content-Length", "X Name: y\r\nContent-Length", 1)
+	address := startNode(t, func(conn *net.TCPConn, in *bufio.Reader) {
+		for {
+			request, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, request.Body)
+			_, _ = io.WriteString(conn, <-answers)
+		}
+	})
+	client := newClient(t, address)
+	for i, want := range []error{nil, nil, ErrUnknown} {
+		_, err := client.Do(context.Background(), Request{
+			Method: http.MethodPost,
+			Path:   "/resolutions",
+		})
+		if !errors.Is(err, want) {
+			t.Errorf("answer %d: error %v", i, err)
+		}
+	}
+}
+
+// Guards against the body of an answer that is checked as a head, because it arrives while the
+// request is being written.
+func TestAnswerDuringARequestIsWhole(t *testing.T) {
+	const half = "no : head\r\n\r\n"
+	address := startNode(t, func(conn *net.TCPConn, in *bufio.Reader) {
+		request, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nLagoonbarrow-Outcome: done\r\nContent-Length: %d\r\n\r\n%s", 2*len(half), half)
+		_, _ = io.Copy(io.Discard, request.Body)
+		_, _ = io.WriteString(conn, half)
+	})
+	response, err := upload(t, address)
+	if err != nil || string(response.Body) != half+half {
+		t.Errorf("response %+v, error %v", response, err)
+	}
+}
--- a/pkg/caller/connection.go
+++ b/pkg/caller/connection.go
@@ -4,14 +4,21 @@
 	"context"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
+
+	"lagoonbarrow/internal/connection/responsehead"
 )
 
-// connection is a connection of net/http to a node.
+// connection is a connection of net/http to a node. It checks the heads of answers, which net/http
+// reads leniently.
 type connection struct {
 	net.Conn
+	mu sync.Mutex
+	// answers is what has been received since the last request began.
+	answers responsehead.Responses
 	// sending is set while a part of a request is being written, and after a write that failed. The
 	// error of a reset may be used up by the write then, so that the reader gets an end of file in
 	// its place.
@@ -34,6 +41,14 @@
 	}
 }
 
+// beginRequest must be called before each request. Bytes of a request may be written after the first
+// ones of its answer have been read, so that a write doesn't show where a request begins.
+func (c *connection) beginRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answers = responsehead.Responses{}
+}
+
 // Write writes a part of a request.
 func (c *connection) Write(data []byte) (int, error) {
 	c.sending.Store(true)
@@ -44,12 +59,22 @@
 	return n, err
 }
 
-// Read reads a part of an answer. An end of file in the middle of a write is an unexpected one,
-// because net/http would take it for the end of an answer without a length.
+// Read reads a part of an answer. It returns ErrInvalidStatus or ErrInvalidField of responsehead
+// for an invalid head. An end of file in the middle of a write is an unexpected one, because
+// net/http would take it for the end of an answer without a length.
 func (c *connection) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
+	if scanErr := c.scan(data[:n]); scanErr != nil {
+		return 0, scanErr
+	}
 	if errors.Is(err, io.EOF) && c.sending.Load() {
 		return n, io.ErrUnexpectedEOF
 	}
 	return n, err
 }
+
+func (c *connection) scan(data []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.answers.Scan(data)
+}
--- a/pkg/caller/transport.go
+++ b/pkg/caller/transport.go
@@ -57,8 +57,11 @@
 func exchange(ctx context.Context, client *http.Client, sent message) (*Response, *Refusal) {
 	var connected atomic.Bool
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) {
+		GotConn: func(info httptrace.GotConnInfo) {
 			connected.Store(true)
+			if conn, ok := info.Conn.(*connection); ok {
+				conn.beginRequest()
+			}
 		},
 	})
 	request, err := newHTTPRequest(traced, sent)
