Take no answer of another node with an invalid field name

Cause: the names in an answer of another node are written to the client as they are, and nothing checks them.

Change: such an answer is an invalid frame, as one with an invalid status is; its outcome is unknown.

Evidence: four new cases of TestWrongAnswersAreLost failed before and pass now, with -race.

--- a/internal/connection/peer/answer_test.go
+++ b/internal/connection/peer/answer_test.go
@@ -37,6 +37,15 @@
 	}}
 }
 
+// withField adds a header field with the name to an answer.
+func withField(packets []*packet, name string) []*packet {
+	packets[0].Answer.Header = append(packets[0].Answer.Header, lagoonbarrow.HeaderField{
+		Name:  name,
+		Value: "y",
+	})
+	return packets
+}
+
 // Guards against delivering anything but the whole answer to the call. Each change to
 // a correct answer must cause ErrAnswerLost and an event.
 func TestWrongAnswersAreLost(t *testing.T) {
@@ -89,6 +98,22 @@
 				return p
 			},
 		},
+		{
+			name:   "field name with a blank",
+			change: func(p []*packet) []*packet { return withField(p, "X Name") },
+		},
+		{
+			name:   "field name with a blank at its end",
+			change: func(p []*packet) []*packet { return withField(p, "Content-Length ") },
+		},
+		{
+			name:   "field name with a control byte",
+			change: func(p []*packet) []*packet { return withField(p, "\nX-Name") },
+		},
+		{
+			name:   "empty field name",
+			change: func(p []*packet) []*packet { return withField(p, "") },
+		},
 		{
 			name:   "changed body",
 			change: func(p []*packet) []*packet { p[1].Body.Data = []byte("54321"); return p },
--- a/internal/connection/peer/exchange.go
+++ b/internal/connection/peer/exchange.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/connection/responsehead"
 	"lagoonbarrow/internal/process/memory"
 )
 
@@ -98,7 +100,8 @@
 }
 
 // receiveAnswer reads the answer to a call. It returns ErrInvalidFrame for any other packet,
-// for example from the answer to another call, and for a status that HTTP doesn't allow.
+// for example from the answer to another call, and for a status or a field name that HTTP doesn't
+// allow.
 func (c *connection) receiveAnswer(ctx context.Context, id lagoonbarrow.CallID, maxBody int, limiter *memory.Limiter) (*lagoonbarrow.Answer, error) {
 	p, err := c.readHead()
 	if err != nil {
@@ -110,6 +113,9 @@
 	if !hasValidStatus(&p.Answer.Answer) {
 		return nil, errors.Wrapf(lagoonbarrow.ErrInvalidFrame, "peer: answer with status %d", p.Answer.Status)
 	}
+	if !hasValidFieldNames(&p.Answer.Answer) {
+		return nil, errors.Wrap(lagoonbarrow.ErrInvalidFrame, "peer: answer with an invalid field name")
+	}
 	body, err := c.receiveCountedBody(ctx, p.Answer, maxBody, limiter)
 	if err != nil {
 		return nil, err
@@ -157,6 +163,13 @@
 	return lagoonbarrow.IsFinalStatus(answer.Status)
 }
 
+// hasValidFieldNames reports whether HTTP allows the names of all header fields of an answer.
+func hasValidFieldNames(answer *lagoonbarrow.Answer) bool {
+	return !slices.ContainsFunc(answer.Header, func(field lagoonbarrow.HeaderField) bool {
+		return !responsehead.IsFieldName(field.Name)
+	})
+}
+
 // receiveLimitedBody is receiveBody for an answer. It returns ErrTooLarge for a body
 // over the limit.
 func (c *connection) receiveLimitedBody(id string, inlined []byte, total, limit int) ([]byte, error) {
--- a/internal/connection/responsehead/head.go
+++ b/internal/connection/responsehead/head.go
@@ -188,7 +188,17 @@
 	s.place = placeLineStart
 }
 
-// isNameByte reports whether the name of a field may contain a byte (RFC 9110, section 5.6.2).
+// IsFieldName reports whether a field may have the name (RFC 9110, section 5.6.2).
+func IsFieldName(name string) bool {
+	for i := range len(name) {
+		if !isNameByte(name[i]) {
+			return false
+		}
+	}
+	return name != ""
+}
+
+// isNameByte reports whether the name of a field may contain a byte.
 func isNameByte(b byte) bool {
 	switch {
 	case b >= '0' && b <= '9', b >= 'a' && b <= 'z', b >= 'A' && b <= 'Z':
