--- a/internal/process/sidecar/fleet_test.go
+++ b/internal/process/sidecar/fleet_test.go
@@ -202,7 +202,12 @@
 
 // sendWithKey sends a request with a customer's key.
 func (m *member) sendWithKey(method, path, id, key string) result {
-	request, err := http.NewRequest(method, "http://"+string(m.sidecar.settings.RequestAddress)+path, strings.NewReader("content"))
+	return m.sendBody(method, path, id, key, strings.NewReader("content"))
+}
+
+// sendBody sends a request with a body, and with a customer's key unless that is empty.
+func (m *member) sendBody(method, path, id, key string, content io.Reader) result {
+	request, err := http.NewRequest(method, "http://"+string(m.sidecar.settings.RequestAddress)+path, content)
 	if err != nil {
 		return result{
 			err: err,
