--- a/internal/cli/client_test.go
+++ b/internal/cli/client_test.go
@@ -1,14 +1,13 @@
 package cli
 
 import (
-	"io"
-	"net"
 	"strconv"
 	"testing"
 
 	"github.com/valyala/fasthttp"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/standin/script"
 )
 
 // Guards against an operator's command that takes a response of a failing node with an invalid
@@ -31,32 +30,15 @@
 	}
 }
 
-// checkNoResponse fails unless a call that gets the bytes fails.
-func checkNoResponse(t *testing.T, bytes string) {
+// checkNoResponse fails unless a call that gets the response fails.
+func checkNoResponse(t *testing.T, response string) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	go func() {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		defer conn.Close()
-		// The client repeats a request whose response it could not read.
-		_ = listener.Close()
-		buffer := make([]byte, 4<<10)
-		_, _ = conn.Read(buffer)
-		_, _ = io.WriteString(conn, bytes)
-	}()
 	client := &adminClient{
-		address: listener.Addr().String(),
+		address: string(script.Start(t, script.Respond(response))),
 		http:    newHTTPClient(),
 	}
-	response, err := client.call(fasthttp.MethodGet, "/status", nil, lagoonbarrow.HeaderField{})
+	got, err := client.call(fasthttp.MethodGet, "/status", nil, lagoonbarrow.HeaderField{})
 	if err == nil {
-		t.Errorf("response %+v", response)
+		t.Errorf("response %+v", got)
 	}
 }
--- a/internal/connection/responsehead/head.go
+++ b/internal/connection/responsehead/head.go
@@ -174,7 +174,7 @@
 	return nil
 }
 
-// scanValue passes over a value, whose bytes fasthttp and net/http check.
+// scanValue passes over a value. fasthttp refuses values with control bytes.
 func (s *scanner) scanValue(next byte) {
 	if next == '\n' {
 		s.endLine()
--- a/internal/process/platform/status_test.go
+++ b/internal/process/platform/status_test.go
@@ -1,15 +1,13 @@
 package platform
 
 import (
-	"bufio"
-	"net"
-	"net/http"
 	"strconv"
 	"testing"
 
 	"github.com/pkg/errors"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/standin/script"
 )
 
 // writtenBody is the body of the response to a claim that was made.
@@ -35,28 +33,11 @@
 	}
 }
 
-// checkNoResponse fails unless the outcome of a claim that gets the bytes is unknown.
-func checkNoResponse(t *testing.T, bytes string) {
+// checkNoResponse fails unless the outcome of a claim that gets the response is unknown.
+func checkNoResponse(t *testing.T, response string) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-				_, _ = conn.Write([]byte(bytes))
-			}
-			_ = conn.Close()
-		}
-	}()
 	client := New(Config{
-		Address: lagoonbarrow.Address(listener.Addr().String()),
+		Address: script.Start(t, script.Respond(response)),
 	})
 	defer func() { _ = client.Stop() }()
 	if err := put(client, "key", 0); !errors.Is(err, lagoonbarrow.ErrOutcomeUnknown) {
--- a/internal/request/backend/field_name_test.go
+++ b/internal/request/backend/field_name_test.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"strings"
 	"testing"
-	"time"
 
 	"lagoonbarrow"
 	"lagoonbarrow/platform"
@@ -56,17 +55,7 @@
 			"of refusal":     "HTTP/1.1 503 E\r\nNot-Executed: 1\r\nLagoonbarrow-Outcome: not-run\r\n" + line + "Content-Length: 0\r\n\r\n",
 		} {
 			t.Run(fmt.Sprintf("%q, %s", line, position), func(t *testing.T) {
-				s := startScriptedServer(t, respondWith(answer, true))
-				client := newClient(t, s, func(config *Config) { config.Headers = platform.Headers() })
-				checkCut(t, client, answer)
-				if kept := len(client.pool.idle); kept != 0 {
-					t.Errorf("%d connections are kept", kept)
-				}
-				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-				defer cancel()
-				if health, err := client.Health(ctx, "/health"); err == nil {
-					t.Errorf("health status %d", health.Status)
-				}
+				checkNoAnswer(t, answer, true)
 			})
 		}
 	}
--- a/internal/request/backend/reset_test.go
+++ b/internal/request/backend/reset_test.go
@@ -1,34 +1,15 @@
 package backend
 
 import (
-	"bufio"
 	"context"
-	"net"
 	"net/http"
 	"testing"
-	"time"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/standin/script"
 	"lagoonbarrow/platform"
 )
 
-// uploadBytes is the size of a request body that doesn't fit into the buffers of a connection.
-const uploadBytes = 16 << 20
-
-// answerAndReset answers as soon as a request begins to arrive and resets the connection while the
-// rest is being sent.
-func answerAndReset(answer string) func(*scriptedServer, net.Conn, *bufio.Reader) {
-	return func(_ *scriptedServer, c net.Conn, in *bufio.Reader) {
-		if _, err := in.Peek(1); err != nil {
-			return
-		}
-		_, _ = c.Write([]byte(answer))
-		// The client is in the middle of its write by then.
-		time.Sleep(10 * time.Millisecond)
-		_ = c.(*net.TCPConn).SetLinger(0)
-	}
-}
-
 // Guards against a part of a body that is passed on as a whole answer: a write that fails because
 // the server has reset the connection leaves the reader an end of file instead of the reset.
 func TestAnswerWithoutALengthBeforeAResetIsNotWhole(t *testing.T) {
@@ -72,8 +53,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			s := startScriptedServer(t, answerAndReset(test.answer))
-			client := newClient(t, s, func(config *Config) { config.Headers = platform.Headers() })
+			client := newClientOf(t, script.Start(t, script.RespondAndReset(test.answer)))
 			call := newUpload()
 			for name, answer := range map[string]*lagoonbarrow.Answer{
 				"relay":  client.Relay(context.Background(), call, farDeadline()),
@@ -95,8 +75,7 @@
 		head + "Content-Length: 5\r\n\r\nwhole",
 		head + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
 	} {
-		s := startScriptedServer(t, answerAndReset(answer))
-		client := newClient(t, s, func(config *Config) { config.Headers = platform.Headers() })
+		client := newClientOf(t, script.Start(t, script.RespondAndReset(answer)))
 		got := client.Relay(context.Background(), newUpload(), farDeadline())
 		if got.Outcome != lagoonbarrow.OutcomeDone || got.Status != http.StatusRequestEntityTooLarge || string(got.Body) != "whole" {
 			t.Errorf("%q: outcome %s, status %d, body %q", answer, got.Outcome, got.Status, got.Body)
@@ -104,9 +83,22 @@
 	}
 }
 
+func newClientOf(t *testing.T, server lagoonbarrow.Address) *Client {
+	t.Helper()
+	client, err := New(Config{
+		Address: server,
+		Headers: platform.Headers(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(client.Close)
+	return client
+}
+
 func newUpload() *lagoonbarrow.Call {
 	call := newCall(http.MethodPost)
 	call.Host = "one.example"
-	call.Body = make([]byte, uploadBytes)
+	call.Body = make([]byte, script.UploadBytes)
 	return call
 }
--- a/internal/request/backend/status_test.go
+++ b/internal/request/backend/status_test.go
@@ -31,22 +31,29 @@
 				if rest == "" {
 					answer = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 " + status + head + "\r\nok"
 				}
-				s := startScriptedServer(t, respondWith(answer, false))
-				client := newClient(t, s, func(config *Config) { config.Headers = platform.Headers() })
-				checkCut(t, client, answer)
-				if kept := len(client.pool.idle); kept != 0 {
-					t.Errorf("%d connections are kept", kept)
-				}
-				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-				defer cancel()
-				if health, err := client.Health(ctx, "/health"); err == nil {
-					t.Errorf("health status %d", health.Status)
-				}
+				checkNoAnswer(t, answer, false)
 			})
 		}
 	}
 }
 
+// checkNoAnswer fails unless the bytes are neither an answer to a request nor to a health probe, and
+// their connections are closed. The server closes them if closeAfterAnswer is set.
+func checkNoAnswer(t *testing.T, answer string, closeAfterAnswer bool) {
+	t.Helper()
+	s := startScriptedServer(t, respondWith(answer, closeAfterAnswer))
+	client := newClient(t, s, func(config *Config) { config.Headers = platform.Headers() })
+	checkCut(t, client, answer)
+	if kept := len(client.pool.idle); kept != 0 {
+		t.Errorf("%d connections are kept", kept)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if health, err := client.Health(ctx, "/health"); err == nil {
+		t.Errorf("health status %d", health.Status)
+	}
+}
+
 // Guards against valid answers that are taken for invalid ones.
 func TestUnusualStatusesAreAnswers(t *testing.T) {
 	const head = "\r\nRequest-Id: r1\r\nResponse-Signature: s\r\nContent-Length: 2\r\n\r\nok"
--- a/pkg/caller/broken_answer_test.go
+++ b/pkg/caller/broken_answer_test.go
@@ -10,42 +10,16 @@
 	"net/http"
 	"strings"
 	"testing"
-	"time"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/standin/script"
 )
 
-// uploadBytes is the size of a request body that doesn't fit into the buffers of a connection.
-const uploadBytes = 16 << 20
-
-// startNode starts a node that handles each connection with serve and then closes it.
-func startNode(t *testing.T, serve func(conn *net.TCPConn, in *bufio.Reader)) (address string) {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				serve(conn.(*net.TCPConn), bufio.NewReader(conn))
-			}()
-		}
-	}()
-	return listener.Addr().String()
-}
-
 // Guards against a part of a body that is taken for a whole answer: a write that fails because the
 // connection was reset leaves the reader an end of file instead of the reset.
 func TestAnswerWithoutALengthBeforeAResetIsNotWhole(t *testing.T) {
 	for range 10 {
-		address := startNode(t, answerAndReset("HTTP/1.1 200 OK\r\nLagoonbarrow-Outcome: done\r\n\r\npart"))
+		address := script.Start(t, script.RespondAndReset("HTTP/1.1 200 OK\r\nLagoonbarrow-Outcome: done\r\n\r\npart"))
 		if response, err := upload(t, address); !errors.Is(err, ErrUnknown) {
 			t.Fatalf("response %+v, error %v", response, err)
 		}
@@ -54,7 +28,7 @@
 
 // Guards against an answer without a length that isn't taken although the node ended it.
 func TestAnswerWithoutALengthIsWhole(t *testing.T) {
-	address := startNode(t, func(conn *net.TCPConn, in *bufio.Reader) {
+	address := script.Start(t, func(conn *net.TCPConn, in *bufio.Reader) {
 		request, err := http.ReadRequest(in)
 		if err != nil {
 			return
@@ -68,27 +42,13 @@
 	}
 }
 
-// answerAndReset answers as soon as a request begins to arrive and resets the connection while the
-// rest is being sent.
-func answerAndReset(answer string) func(*net.TCPConn, *bufio.Reader) {
-	return func(conn *net.TCPConn, in *bufio.Reader) {
-		if _, err := in.Peek(1); err != nil {
-			return
-		}
-		_, _ = io.WriteString(conn, answer)
-		// The client is in the middle of its write by then.
-		time.Sleep(10 * time.Millisecond)
-		_ = conn.SetLinger(0)
-	}
-}
-
 // upload sends a request whose body takes many writes.
-func upload(t *testing.T, address string) (*Response, error) {
+func upload(t *testing.T, address lagoonbarrow.Address) (*Response, error) {
 	t.Helper()
-	return newClient(t, address).Do(context.Background(), Request{
+	return newClient(t, string(address)).Do(context.Background(), Request{
 		Method: http.MethodPost,
 		Path:   "/resolutions",
-		Body:   make([]byte, uploadBytes),
+		Body:   make([]byte, script.UploadBytes),
 	})
 }
 
@@ -109,12 +69,12 @@
 			"without length": status + names + line + end,
 		} {
 			t.Run(fmt.Sprintf("%q, %s", line, position), func(t *testing.T) {
-				address := startNode(t, func(conn *net.TCPConn, in *bufio.Reader) {
+				address := script.Start(t, func(conn *net.TCPConn, in *bufio.Reader) {
 					if _, err := http.ReadRequest(in); err == nil {
 						_, _ = io.WriteString(conn, answer)
 					}
 				})
-				response, err := newClient(t, address).Do(context.Background(), Request{
+				response, err := newClient(t, string(address)).Do(context.Background(), Request{
 					Method: http.MethodPost,
 					Path:   "/resolutions",
 				})
@@ -133,7 +93,7 @@
 	answers <- valid
 	answers <- valid
 	answers <- strings.Replace(valid, "Content-Length", "X Name: y\r\nContent-Length", 1)
-	address := startNode(t, func(conn *net.TCPConn, in *bufio.Reader) {
+	address := script.Start(t, func(conn *net.TCPConn, in *bufio.Reader) {
 		for {
 			request, err := http.ReadRequest(in)
 			if err != nil {
@@ -143,7 +103,7 @@
 			_, _ = io.WriteString(conn, <-answers)
 		}
 	})
-	client := newClient(t, address)
+	client := newClient(t, string(address))
 	for i, want := range []error{nil, nil, ErrUnknown} {
 		_, err := client.Do(context.Background(), Request{
 			Method: http.MethodPost,
@@ -159,7 +119,7 @@
 // request is being written.
 func TestAnswerDuringARequestIsWhole(t *testing.T) {
 	const half = "no : head\r\n\r\n"
-	address := startNode(t, func(conn *net.TCPConn, in *bufio.Reader) {
+	address := script.Start(t, func(conn *net.TCPConn, in *bufio.Reader) {
 		request, err := http.ReadRequest(in)
 		if err != nil {
 			return
