Return answers without a length that end just after the upload was written

Cause: a write was taken for unfinished until its goroutine ran again, and an end of file in that time for a cut.

Change: the read waits for the write in progress, and only a failed one makes the end of file unexpected. A write that doesn't end is ended by the request's context, which closes the connection.

--- a/pkg/caller/connection.go
+++ b/pkg/caller/connection.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"sync"
-	"sync/atomic"
 
 	"github.com/pkg/errors"
 
@@ -19,10 +18,11 @@
 	mu sync.Mutex
 	// answers is what has been received since the last request began.
 	answers responsehead.Responses
-	// sending is set while a part of a request is being written, and after a write that failed. The
-	// error of a reset may be used up by the write then, so that the reader gets an end of file in
-	// its place.
-	sending atomic.Bool
+	// writing is held during a write and guards writeFailed.
+	writing sync.Mutex
+	// writeFailed is set once a write has failed. The error of a reset may be used up then, so that
+	// the reader gets an end of file in its place.
+	writeFailed bool
 }
 
 // newDial returns the function by which net/http opens connections.
@@ -51,28 +51,37 @@
 
 // Write writes a part of a request.
 func (c *connection) Write(data []byte) (int, error) {
-	c.sending.Store(true)
+	c.writing.Lock()
+	defer c.writing.Unlock()
 	n, err := c.Conn.Write(data)
-	if err == nil {
-		c.sending.Store(false)
+	if err != nil {
+		c.writeFailed = true
 	}
 	return n, err
 }
 
 // Read reads a part of an answer. It returns ErrInvalidStatus or ErrInvalidField of responsehead
-// for an invalid head. An end of file in the middle of a write is an unexpected one, because
+// for an invalid head. An end of file after a write that failed is an unexpected one, because
 // net/http would take it for the end of an answer without a length.
 func (c *connection) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
 	if scanErr := c.scan(data[:n]); scanErr != nil {
 		return 0, scanErr
 	}
-	if errors.Is(err, io.EOF) && c.sending.Load() {
+	if errors.Is(err, io.EOF) && c.isWriteFailed() {
 		return n, io.ErrUnexpectedEOF
 	}
 	return n, err
 }
 
+// isWriteFailed waits for a write in progress and reports whether it or an earlier one has failed.
+// net/http closes the connection when the context of the request ends, which ends the write.
+func (c *connection) isWriteFailed() bool {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	return c.writeFailed
+}
+
 func (c *connection) scan(data []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
