Read a refusal without a length that an early reset cuts off

The head of a refusal has arrived whole, and says that the request was not run.

Change: of an answer that the server marks as not run, or of 421, the head is enough. What counts as a refusal stands in one function, for reading and for the outcome. Other answers without a length are lost as before.

--- a/internal/request/backend/relay.go
+++ b/internal/request/backend/relay.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
 	"lagoonbarrow"
@@ -77,8 +78,27 @@
 	return false
 }
 
+// read reads one complete answer. Of a refusal without a length the head is enough, since its body
+// isn't passed on.
 func (r relayDialect) read(conn *connection, call *lagoonbarrow.Call, response *fasthttp.Response) error {
-	return conn.readUnframed(response, call.Method == fasthttp.MethodHead, r.client.config.MaxBodyBytes)
+	err := conn.readUnframed(response, call.Method == fasthttp.MethodHead, r.client.config.MaxBodyBytes)
+	if errors.Is(err, errNoLength) && r.refusalReason(response) != lagoonbarrow.ReasonNone {
+		return nil
+	}
+	return err
+}
+
+// refusalReason returns why the server has not run the request, or ReasonNone if its answer doesn't
+// say that it has not.
+func (r relayDialect) refusalReason(response *fasthttp.Response) lagoonbarrow.Reason {
+	switch {
+	case len(response.Header.Peek(r.client.config.Headers.NotRun)) > 0:
+		return lagoonbarrow.ReasonShed
+	case response.StatusCode() == fasthttp.StatusMisdirectedRequest:
+		return lagoonbarrow.ReasonLeaving
+	default:
+		return lagoonbarrow.ReasonNone
+	}
 }
 
 func (r relayDialect) toAnswer(call *lagoonbarrow.Call, response *fasthttp.Response) *lagoonbarrow.Answer {
@@ -92,14 +112,14 @@
 	if answer.Status != fasthttp.StatusMisdirectedRequest {
 		answer.Announcement = announcement(header, headers)
 	}
+	refusal := r.refusalReason(response)
 	switch {
-	case len(header.Peek(headers.NotRun)) > 0:
-		answer.Outcome = lagoonbarrow.OutcomeNotRun
-		answer.Reason = lagoonbarrow.ReasonShed
-		answer.RetryAfter = retryAfter(header)
-	case answer.Status == fasthttp.StatusMisdirectedRequest:
+	case refusal != lagoonbarrow.ReasonNone:
 		answer.Outcome = lagoonbarrow.OutcomeNotRun
-		answer.Reason = lagoonbarrow.ReasonLeaving
+		answer.Reason = refusal
+		if refusal == lagoonbarrow.ReasonShed {
+			answer.RetryAfter = retryAfter(header)
+		}
 	case impliesNotRun(answer.Status), !isAuthentic(answer.Status, header, headers.Signature):
 		answer.Outcome = lagoonbarrow.OutcomeUnknown
 		answer.Reason = lagoonbarrow.ReasonBackend
--- a/internal/request/backend/reset_test.go
+++ b/internal/request/backend/reset_test.go
@@ -83,6 +83,39 @@
 	}
 }
 
+// Guards against an unknown outcome for an upload that a server has refused in a whole head. The body
+// of a refusal isn't passed on, so it may be cut off.
+func TestRefusalWithoutALengthBeforeAResetIsRead(t *testing.T) {
+	tests := []struct {
+		name   string
+		answer string
+		reason lagoonbarrow.Reason
+	}{
+		{
+			name:   "full server",
+			answer: "HTTP/1.1 503 E\r\nRequest-Id: r1\r\nNot-Executed: 1\r\nRetry-After: 2\r\n\r\npart",
+			reason: lagoonbarrow.ReasonShed,
+		},
+		{
+			name:   "another server",
+			answer: "HTTP/1.1 421 E\r\nRequest-Id: r1\r\n\r\npart",
+			reason: lagoonbarrow.ReasonLeaving,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			client := newClientOf(t, script.Start(t, script.RespondAndReset(test.answer)))
+			got := client.Relay(context.Background(), newUpload(), farDeadline())
+			if got.Outcome != lagoonbarrow.OutcomeNotRun || got.Reason != test.reason || len(got.Body) > 0 {
+				t.Errorf("outcome %s, reason %s, status %d, body %q", got.Outcome, got.Reason, got.Status, got.Body)
+			}
+			if kept := len(client.pool.idle); kept != 0 {
+				t.Errorf("%d connections are kept", kept)
+			}
+		})
+	}
+}
+
 func newClientOf(t *testing.T, server lagoonbarrow.Address) *Client {
 	t.Helper()
 	client, err := New(Config{
