Name the wait for a write, and report why it failed, in the caller client

Cause: isWriteFailed hid that it waits, and the error that it reported on was lost: a caller read "unexpected EOF" for a reset during its upload.

Change: awaitWrite returns the error of the write, which the refusal names. Decisions are the same.

--- a/pkg/caller/connection.go
+++ b/pkg/caller/connection.go
@@ -18,11 +18,11 @@
 	mu sync.Mutex
 	// answers is what has been received since the last request began.
 	answers responsehead.Responses
-	// writing is held during a write and guards writeFailed.
+	// writing is held during a write and guards writeErr.
 	writing sync.Mutex
-	// writeFailed is set once a write has failed. The error of a reset may be used up then, so that
+	// writeErr is the error of the write that failed, if any. That of a reset is used up then, so that
 	// the reader gets an end of file in its place.
-	writeFailed bool
+	writeErr error
 }
 
 // newDial returns the function by which net/http opens connections.
@@ -55,7 +55,7 @@
 	defer c.writing.Unlock()
 	n, err := c.Conn.Write(data)
 	if err != nil {
-		c.writeFailed = true
+		c.writeErr = err
 	}
 	return n, err
 }
@@ -68,18 +68,20 @@
 	if scanErr := c.scan(data[:n]); scanErr != nil {
 		return 0, scanErr
 	}
-	if errors.Is(err, io.EOF) && c.isWriteFailed() {
-		return n, io.ErrUnexpectedEOF
+	if errors.Is(err, io.EOF) {
+		if writeErr := c.awaitWrite(); writeErr != nil {
+			return n, errors.Wrap(io.ErrUnexpectedEOF, "caller: write failed: "+writeErr.Error())
+		}
 	}
 	return n, err
 }
 
-// isWriteFailed waits for a write in progress and reports whether it or an earlier one has failed.
-// net/http closes the connection when the context of the request ends, which ends the write.
-func (c *connection) isWriteFailed() bool {
+// awaitWrite waits for a write in progress and returns its error, or that of an earlier one. net/http
+// closes the connection when the context of the request ends, which ends the write.
+func (c *connection) awaitWrite() error {
 	c.writing.Lock()
 	defer c.writing.Unlock()
-	return c.writeFailed
+	return c.writeErr
 }
 
 func (c *connection) scan(data []byte) error {
