Log why an answer of the backend server was not taken

Change: one line a second at most, with the request, the cause and the number of answers since the last line. Cancelled and late calls are not logged.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -252,6 +252,7 @@
 		HealthPath:   n.settings.HealthPath,
 		Connections:  n.settings.Connections,
 		MaxBodyBytes: n.settings.MaxBodyBytes,
+		Logger:       n.logger.Named("backend"),
 		Scope:        n.scope.SubScope("backend"),
 	})
 	if err != nil {
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -240,6 +240,7 @@
 		DialTimeout:   serverDialTimeout,
 		Headers:       s.config.Headers,
 		MaxUnsafeIdle: maxUnsafeIdle,
+		Logger:        s.config.Logger.Named("backend"),
 		Scope:         s.metrics.Scope().SubScope("backend"),
 	})
 	if err != nil {
--- a/internal/request/backend/client.go
+++ b/internal/request/backend/client.go
@@ -12,10 +12,12 @@
 	"net"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/process/logging"
 	"lagoonbarrow/internal/process/memory"
 )
 
@@ -58,13 +60,17 @@
 	// that must not be sent twice; 1 s by default. If negative, such a request always
 	// gets a new connection.
 	MaxUnsafeIdle time.Duration
-	Scope         tally.Scope
+	// Logger gets the reasons for which answers are not taken; none by default.
+	Logger hclog.Logger
+	Scope  tally.Scope
 }
 
 // Client sends calls to the backend server. It implements lagoonbarrow.Backend.
 type Client struct {
 	config Config
 	pool   *pool
+	// lost bounds the log lines about answers that were not taken.
+	lost logging.Throttle
 }
 
 var _ lagoonbarrow.Backend = (*Client)(nil)
@@ -100,6 +106,9 @@
 	if config.MaxUnsafeIdle == 0 {
 		config.MaxUnsafeIdle = defaultMaxUnsafeIdle
 	}
+	if config.Logger == nil {
+		config.Logger = hclog.NewNullLogger()
+	}
 	if config.Scope == nil {
 		config.Scope = tally.NoopScope
 	}
--- a/internal/request/backend/exchange.go
+++ b/internal/request/backend/exchange.go
@@ -89,6 +89,7 @@
 	defer fasthttp.ReleaseResponse(response)
 	found, err := c.readAnswer(conn, call, response, d)
 	if err != nil {
+		c.logLost(ctx, call, err)
 		answer = failureAnswer(ctx, call, lagoonbarrow.OutcomeUnknown)
 	} else {
 		answer = d.toAnswer(call, response)
