Wait for a keeper that has just begun, whatever its first reply named

What callers saw: after each change of the keeper of a group, requests of customers within their rates were refused with 503 at once instead of waiting up to 150 ms for a token, and for 200 ms no message was sent for them.

Cause: balance.apply noted since when a keeper can't tell whether a customer exceeds its rate only for replies that name a wait. The first reply of a new keeper to a message without waiting requests names none, but was remembered as uncertain. The next one then seemed to continue a state of long ago, so that the patience of 2 s for a lasting partition was over at once.

Change: the time is noted before the reply's wait is looked at.

Evidence: TestRequestsWaitForNewKeepers failed before (refused after 0.1 s instead of 2 s) and passes now.

--- a/internal/process/quota/balance.go
+++ b/internal/process/quota/balance.go
@@ -207,12 +207,12 @@
 	b.last.uncertain = from.uncertain || said.Fresh || said.Unknown
 	b.limited = said.Wait > 0 && said.Pressure > 1
 	b.holdUntil, b.askAt = 0, 0
-	if said.Wait == 0 && !said.Unknown {
-		return nil
-	}
 	if wasUncertain := before.uncertain && before.repliedAt > 0; b.last.uncertain && !wasUncertain {
 		b.uncertainSince = now
 	}
+	if said.Wait == 0 && !said.Unknown {
+		return nil
+	}
 	lasting := b.last.uncertain && now-b.uncertainSince >= uncertainPatience
 	if !lasting && (b.last.uncertain || (!b.limited && said.Wait <= patience)) {
 		b.askAt = now + max(min(said.Wait, patience), uncertainInterval)
--- a/internal/process/quota/keeper_test.go
+++ b/internal/process/quota/keeper_test.go
@@ -317,3 +317,54 @@
 		})
 	}
 }
+
+// Guards against requests that are refused at once, as in a lasting partition, when a keeper
+// has just begun: its first reply, to a message without waiting requests, names no wait.
+func TestRequestsWaitForNewKeepers(t *testing.T) {
+	replies := []struct {
+		at        time.Duration
+		wait      time.Duration
+		uncertain bool
+		refuses   bool
+	}{
+		{
+			at:        time.Second,
+			wait:      maxHold,
+			uncertain: true,
+		},
+		{
+			at: 2 * time.Second,
+		},
+		{
+			at:        10 * time.Second,
+			uncertain: true,
+		},
+		{
+			at:        10*time.Second + 100*time.Millisecond,
+			wait:      maxHold,
+			uncertain: true,
+		},
+		{
+			at:        10*time.Second + uncertainPatience,
+			wait:      maxHold,
+			uncertain: true,
+			refuses:   true,
+		},
+	}
+	held := balance{
+		waiting: []*waiter{
+			{},
+		},
+	}
+	for _, reply := range replies {
+		refused := held.apply(reply.at, &replyEntry{
+			Wait: reply.wait,
+		}, standing{
+			repliedAt: reply.at,
+			uncertain: reply.uncertain,
+		})
+		if refuses := len(refused) > 0; refuses != reply.refuses {
+			t.Errorf("after %s: refuses %t, want %t", reply.at, refuses, reply.refuses)
+		}
+	}
+}
