Hold the votes of keepers that refuse connections

Cause: a node took a refused connection to the keeper of a group as proof that its process is gone, freed its vote at once and gave it to the next keeper. The network may refuse connections to a keeper that lives. That one counts the vote to the end of its life, so that both grant the rate. A trace of the grants shows shares of 1.0 and 0.83 side by side, from 0.2 s after the cut until it ends and the votes have moved back. Ruled out: a second keeper with a full bucket (it begins at 0, at most 3.4 tokens).

Related path: a new process took a refusal by one of the first three keepers as the word that it has no vote of an earlier process of the node.

Change: a refused connection frees no vote. What frees one is the end of its life, the keeper's own reply, or the reply of another process under its name.

Why it works: each vote counts at one keeper at a time again, whatever the network answers, so all keepers of a group grant the rate once.

The price: a killed keeper can't be told from one that is cut off.

--- a/internal/process/quota/keeper_test.go
+++ b/internal/process/quota/keeper_test.go
@@ -169,6 +169,39 @@
 	}
 }
 
+// Guards against a refused connection that is taken as proof that a keeper counts no vote of this
+// process, or of an earlier one of the node: the network may refuse connections to one that lives.
+func TestRefusedConnectionsFreeNoVotes(t *testing.T) {
+	now := moment{}
+	n := newTokenNode(now, 1)
+	keeper := lagoonbarrow.Instance{
+		ID:    "node-0",
+		State: lagoonbarrow.StateReady,
+	}
+	n.setMembers([]lagoonbarrow.Instance{keeper})
+	refused := outgoing{
+		to: keeper,
+	}
+	held := &n.groups[0].ballot
+	n.fail(now, refused, failureRefused)
+	if !held.inherits(now) {
+		t.Error("the vote of an earlier process is free")
+	}
+	now = now.after(voteLife, voteLife)
+	held.given = heldVote{
+		instance: keeper,
+		process:  7,
+		until:    now.slow + voteLife,
+	}
+	n.fail(now, refused, failureRefused)
+	if held.free(now, "node-2") {
+		t.Error("the vote of this process is free")
+	}
+	if now = now.after(voteLife, voteLife); !held.free(now, "node-2") {
+		t.Error("the vote is held after its life")
+	}
+}
+
 // Guards against a bucket that is filled by a step of the wall clock, against one that is
 // filled for the time in which a keeper was suspended, and against votes that outlast that.
 func TestClockStepsGrantNothing(t *testing.T) {
--- a/internal/process/quota/token_node.go
+++ b/internal/process/quota/token_node.go
@@ -99,7 +99,8 @@
 	failureTimeout failure = iota
 	// failureConnect: no connection to the keeper could be opened.
 	failureConnect
-	// failureRefused: no process accepts connections at the keeper's address.
+	// failureRefused: the keeper's process is gone, or lives, counts its votes, and the network
+	// refuses connections to it.
 	failureRefused
 	// failureLocal: the node itself could not send.
 	failureLocal
@@ -458,10 +459,6 @@
 			return false
 		}
 	case failureRefused:
-		for i := range n.groups {
-			n.groups[i].ballot.released(id)
-			n.releaseInherited(now, i, id)
-		}
 		delete(n.timeouts, id)
 		n.keepers.failedUntil[id] = timeOf(now).Add(refusedDelay)
 		return true
--- a/internal/process/quota/token_property_test.go
+++ b/internal/process/quota/token_property_test.go
@@ -54,6 +54,7 @@
 		for i, node := range s.processes {
 			s.partition[node.id] = parameter >> i & 1
 		}
+		s.refusing = parameter>>len(s.processes)&1 == 1
 	case 5, 6:
 		clear(s.partition)
 	case 7:
@@ -108,6 +109,42 @@
 	}
 }
 
+// Guards against a rate that is granted twice, by a keeper that lives while the network refuses
+// connections to it, and by the one that replaces it.
+func TestRefusedConnectionsToLivingKeepers(t *testing.T) {
+	const (
+		nodes     = 6
+		cutTime   = 800 * time.Millisecond
+		cutsEach  = 4
+		cutFactor = 7.5
+	)
+	for index := range nodes {
+		s := newTokenSimulation(1, nodes, simLimits(1))
+		demand := func(factor float64) {
+			s.demand = func(_ time.Duration, id lagoonbarrow.CustomerID, _ int) float64 {
+				return factor * simLimits(1)[id].RequestsPerSecond / 1.6 / nodes
+			}
+		}
+		s.refusing = true
+		demand(1)
+		s.run(3 * time.Second)
+		demand(cutFactor)
+		share := 0.0
+		for range cutsEach {
+			s.partition[s.processes[index].id] = 1
+			share = max(share, s.runForShare(cutTime))
+			clear(s.partition)
+			share = max(share, s.runForShare(cutTime))
+		}
+		if share > 1+1e-9 {
+			t.Errorf("node %d is cut off: the keepers of a group grant %.2f of the rates together", index, share)
+		}
+		if found := s.violation(); found != "" {
+			t.Errorf("node %d is cut off: %s", index, found)
+		}
+	}
+}
+
 // Guards against a rate that is granted twice: by two keepers, by one that was frozen,
 // suspended or restarted, by tokens returned twice, or by a burst that a restart grants again.
 func TestPropertyCustomerRateHoldsUnderFaults(t *testing.T) {
--- a/internal/process/quota/token_simulation_test.go
+++ b/internal/process/quota/token_simulation_test.go
@@ -82,6 +82,9 @@
 	demand func(now time.Duration, customer lagoonbarrow.CustomerID, node int) float64
 	// partition holds the side of each node.
 	partition map[lagoonbarrow.InstanceID]int
+	// refusing is set while the network refuses connections between the sides at once. Without
+	// it, messages between them are lost.
+	refusing bool
 	// loss is the fraction of messages that are lost, and late the fraction that are late or
 	// doubled.
 	loss, late float64
@@ -173,6 +176,24 @@
 	}
 }
 
+// runForShare runs the simulation for a time, and returns the largest share of the rates that the
+// keepers of one group had together.
+func (s *tokenSimulation) runForShare(duration time.Duration) float64 {
+	largest := 0.0
+	for end := s.now + duration; s.now < end; {
+		s.step()
+		var shares [keeperGroups]float64
+		for _, p := range s.processes {
+			p.keeper.advance(p.clock)
+			for i := range shares {
+				shares[i] += p.keeper.groups[i].share
+			}
+		}
+		largest = max(largest, slices.Max(shares[:]))
+	}
+	return largest
+}
+
 func (s *tokenSimulation) step() {
 	s.now += simTick
 	for _, p := range append(slices.Clone(s.processes), s.former...) {
@@ -244,6 +265,15 @@
 	return s.partition[m.from.id] == s.partition[m.to.id]
 }
 
+// refuses reports whether the connection for a message is refused: by the host of a process that
+// is gone, or by the network.
+func (s *tokenSimulation) refuses(m *simMessage) bool {
+	if s.connected(m) {
+		return m.to.dead
+	}
+	return s.refusing
+}
+
 func (s *tokenSimulation) deliverRequest(m *simMessage) {
 	if m.to.dead || !s.connected(m) {
 		return
@@ -369,12 +399,11 @@
 func (s *tokenSimulation) send(p *tokenProcess) {
 	for group := range p.inFlight {
 		if waiting := p.inFlight[group]; waiting != nil {
-			if s.now < waiting.timeoutAt && !waiting.to.dead {
-				continue
-			}
 			how := failureTimeout
-			if waiting.to.dead && s.connected(waiting) {
+			if s.refuses(waiting) {
 				how = failureRefused
+			} else if s.now < waiting.timeoutAt {
+				continue
 			}
 			p.inFlight[group] = nil
 			p.node.fail(p.clock, waiting.sent, how)
