Release a stopping keeper's votes while other nodes can connect to it

Cause: Stop released the votes in the same step in which it closes the listener for other nodes. They met refused connections rather than the reply that the keeper has stopped.

Change: the votes are released as the stop begins.

--- a/internal/process/sidecar/customer_limit_test.go
+++ b/internal/process/sidecar/customer_limit_test.go
@@ -127,6 +127,40 @@
 	}
 }
 
+// Guards against a planned stop that releases the votes of the keeper only as other nodes can't
+// connect to it any more: they then wait for the votes to end, and refuse customers meanwhile.
+func TestStoppingKeeperIsReplacedBeforeItLeaves(t *testing.T) {
+	f := newFleet(t, 0, nil)
+	f.customers = []standin.Customer{
+		{
+			Name:          "limited",
+			Key:           "limited-key",
+			RatePerSecond: 40,
+			Burst:         10,
+		},
+	}
+	f.configure("alpha")
+	f.waitForVersion()
+	f.waitFor("the customer is served", func() bool {
+		return f.members[2].sendWithKey(http.MethodGet, "/read/x", "first", "limited-key").status == http.StatusOK
+	})
+	keeper := f.keeperOf("limited")
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		keeper.sidecar.Stop()
+	}()
+	for _, other := range f.others(keeper) {
+		f.waitFor("another keeper is used", func() bool {
+			return other.sidecar.customerLimits.Keeper("limited") != keeper.sidecar.settings.Instance
+		})
+	}
+	if keeper.sidecar.leaving.Load() {
+		t.Error("the keeper refused calls of other nodes before they used another one")
+	}
+	<-stopped
+}
+
 // keeperOf returns the member that keeps the account of a customer.
 func (f *fleet) keeperOf(customer lagoonbarrow.CustomerID) *member {
 	id := f.members[2].sidecar.customerLimits.Keeper(customer)
--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -68,9 +68,10 @@
 	}
 }
 
-// Stop stops gracefully. Clients are asked to reconnect elsewhere and are served until
-// they have left. Then the node refuses calls from other nodes and waits for all work
-// in progress. The setting StopTimeout bounds the wait.
+// Stop stops gracefully. The accounts of customers move to other nodes. Clients are asked
+// to reconnect elsewhere and are served until they have left. Then the node refuses calls
+// from other nodes and waits for all work in progress. The setting StopTimeout bounds the
+// wait.
 func (s *Sidecar) Stop() {
 	started := time.Now()
 	schedule := shutdown.NewSchedule(shutdown.Config{
@@ -79,6 +80,8 @@
 	})
 	s.timeline.Record(event.NodeStopping, event.Fields{})
 	s.stopping.Store(true)
+	// Other nodes learn of it while they can connect, and need not wait for their votes to end.
+	s.customerLimits.Leave()
 	s.requests.Drain(schedule.Deadline)
 	s.handler.Drain(schedule.Deadline)
 	ctx, cancel := context.WithDeadline(context.Background(), schedule.AbortAt)
@@ -98,7 +101,6 @@
 func (s *Sidecar) leave() {
 	s.leaving.Store(true)
 	s.handler.Close()
-	s.customerLimits.Leave()
 	server, _ := s.registration.Current()
 	if server.ID != "" && server.Slots > 0 {
 		s.serverChanged(server, false)
