Move the node's side of a group into a file of its own

The methods that tell how long a vote counts and how often it is renewed get names that differ from those of their constants. Nothing changes in behaviour; the tests of the package pass.

--- a/internal/process/quota/token_node.go
+++ b/internal/process/quota/token_node.go
@@ -8,15 +8,8 @@
 )
 
 const (
-	// refreshInterval is the time between two messages without needs, which renew the vote.
-	refreshInterval = 500 * time.Millisecond
-	// busyRefreshInterval is refreshInterval for a vote that counts for busyVoteLife.
-	busyRefreshInterval = 200 * time.Millisecond
-	// minBusyDemand is the demand of the customers of a group, in requests per second, from which
-	// the node's vote counts for busyVoteLife.
-	minBusyDemand = 1
-	// refusedDelay is how long a keeper without a process counts as failed. A process starts
-	// again within a second or two, and votes that are spread over several keepers refuse
+	// refusedDelay is how long a keeper that refuses connections counts as failed. A process
+	// starts again within a second or two, and votes that are spread over several keepers refuse
 	// requests within the rate.
 	refusedDelay = 300 * time.Millisecond
 	// timeoutsBeforeFailure is the number of consecutive timeouts after which a keeper counts
@@ -35,9 +28,6 @@
 	// uncertainInterval is the time between two messages while the keeper can't tell whether
 	// a customer exceeds its rate.
 	uncertainInterval = 20 * time.Millisecond
-	// minKnownShare is the share of the votes below which a keeper's lack of tokens doesn't
-	// show that the customer exceeds its rate.
-	minKnownShare = 0.5
 )
 
 // groupKeys rank the keepers of the groups.
@@ -70,15 +60,6 @@
 	sequence uint64
 }
 
-// tokenGroup is a node's side of one group of customers.
-type tokenGroup struct {
-	number int
-	// limited is the number of customers with a limit. Without any, no messages are sent.
-	limited  int
-	balances map[lagoonbarrow.CustomerID]*balance
-	ballot   ballot
-}
-
 // verdict is the decision about a request.
 type verdict int
 
@@ -246,7 +227,7 @@
 		message.Release = true
 		target = previous
 	} else {
-		group.ballot.address(now, target, message, group.voteLife(now.fast))
+		group.ballot.address(now, target, message, group.lifeOfVote(now.fast))
 		group.addEntries(now.fast, target.ID, message)
 	}
 	return outgoing{
@@ -306,51 +287,10 @@
 	return time.Unix(0, 0).Add(now.fast)
 }
 
-// addEntries adds what the customers of the group need.
-func (g *tokenGroup) addEntries(now time.Duration, to lagoonbarrow.InstanceID, message *tokenRequest) {
-	for id, held := range g.balances {
-		if len(message.Entries) == maxEntries {
-			return
-		}
-		if entry, needed := held.entry(now, id, to, message.KeeperProcess); needed {
-			message.Entries = append(message.Entries, entry)
-		} else if held.idle(now) {
-			delete(g.balances, id)
-		}
-	}
-}
-
-// busy reports whether customers of the group send requests to the node, which a failure of the
-// keeper would delay.
-func (g *tokenGroup) busy(now time.Duration) bool {
-	demand := 0.0
-	for _, held := range g.balances {
-		demand += held.demand.perSecond(now)
-	}
-	return demand >= minBusyDemand
-}
-
-// voteLife returns how long the node's vote counts. A shorter life costs more messages, and lets
-// the node vote for another keeper sooner after a failure.
-func (g *tokenGroup) voteLife(now time.Duration) time.Duration {
-	if g.busy(now) {
-		return busyVoteLife
-	}
-	return voteLife
-}
-
-// refreshInterval returns the time between two messages that renew the vote.
-func (g *tokenGroup) refreshInterval(now time.Duration) time.Duration {
-	if g.busy(now) {
-		return busyRefreshInterval
-	}
-	return refreshInterval
-}
-
 // delay returns the time until the next message of a group.
 func (n *tokenNode) delay(now moment, number int) time.Duration {
 	group := &n.groups[number]
-	delay := group.refreshInterval(now.fast)
+	delay := group.renewalInterval(now.fast)
 	if blocked := group.ballot.blockedFor(now); blocked > 0 {
 		// The vote is given as soon as it is free.
 		delay = min(delay, blocked)
@@ -363,13 +303,6 @@
 	return delay
 }
 
-// refusal is a request that a reply refuses.
-type refusal struct {
-	customer lagoonbarrow.CustomerID
-	held     *balance
-	requests []*waiter
-}
-
 // receive applies the reply to a message. It returns the time until the next message, and the
 // requests that are refused.
 func (n *tokenNode) receive(now moment, sent outgoing, reply *tokenReply) (time.Duration, []refusal) {
@@ -404,46 +337,6 @@
 	return delay, refused
 }
 
-// apply adds the granted tokens and serves the waiting requests. Tokens are valid from when
-// the message was sent.
-func (g *tokenGroup) apply(now time.Duration, sent outgoing, reply *tokenReply) []refusal {
-	asked := map[lagoonbarrow.CustomerID]int{}
-	for i := range sent.message.Entries {
-		entry := &sent.message.Entries[i]
-		asked[entry.Customer] = entry.Waiting + entry.Ahead
-	}
-	var refused []refusal
-	for i := range reply.Entries {
-		said := &reply.Entries[i]
-		held := g.balances[said.Customer]
-		most, found := asked[said.Customer]
-		if held == nil || !found {
-			continue
-		}
-		delete(asked, said.Customer)
-		held.add(now, tokenBatch{
-			keeper:  sent.to.ID,
-			process: reply.Process,
-			expires: sent.sentAt.fast + tokenLife,
-			tokens:  min(said.Granted, most),
-		})
-		held.serveWaiting(now)
-		requests := held.apply(now, said, standing{
-			keeper:    sent.to.ID,
-			repliedAt: now,
-			uncertain: reply.Share < minKnownShare,
-		})
-		if len(requests) > 0 {
-			refused = append(refused, refusal{
-				customer: said.Customer,
-				held:     held,
-				requests: requests,
-			})
-		}
-	}
-	return refused
-}
-
 // fail notes that a message got no reply, and reports whether its keeper counts as failed now.
 func (n *tokenNode) fail(now moment, sent outgoing, how failure) bool {
 	id := sent.to.ID
