Say in which way a vote gets a shorter life

The comment of ballot.address left the reader to find out why the echo of an earlier time does it, and a line of the package comment was too long.

--- a/internal/process/quota/ballot.go
+++ b/internal/process/quota/ballot.go
@@ -89,9 +89,9 @@
 	return b.probed.keeper == keeper && now.slow-b.probed.receivedAt < probeLife
 }
 
-// address adds what the keeper has to echo to a message, and the vote if it is free. The vote
-// counts for a life of at most voteLife after the keeper's time: a shorter one is given by the
-// echo of an earlier time.
+// address adds what the node has to echo to a message, and the vote if it is free. The vote counts
+// for life after the keeper's time. Keepers count each for voteLife after the time that it echoes,
+// so that a shorter one echoes an earlier time.
 func (b *ballot) address(now moment, to lagoonbarrow.Instance, message *tokenRequest, life time.Duration) {
 	if b.known.keeper != to.ID {
 		return
--- a/internal/process/quota/doc.go
+++ b/internal/process/quota/doc.go
@@ -69,11 +69,11 @@
 // Limits admits at most (rate x 5 s + burst) x 1.1 + 20 requests of a customer in any
 // 5 s, whichever nodes fail, restart or can't reach each other. Customers belong to one
 // of four groups. A node gives its vote in each group to one keeper at a time, for 0.9 s
-// from the keeper's own time that it repeats, or for 1.5 s without demand in the group. A keeper with k of N votes fills the
-// bucket of each customer at k/N of the rate, from empty, so that all keepers together
-// grant the rate once. Nodes take tokens from the keeper before they let requests
-// through, and use them within 250 ms. docs/design/customer-limits.md has the rules for
-// each failure.
+// from the keeper's own time that it repeats, or for 1.5 s without demand in the group. A
+// keeper with k of N votes fills the bucket of each customer at k/N of the rate, from
+// empty, so that all keepers together grant the rate once. Nodes take tokens from the
+// keeper before they let requests through, and use them within 250 ms.
+// docs/design/customer-limits.md has the rules for each failure.
 //
 // The bound of 5 s holds the rate of 5 s and the burst, tokens of 250 ms that were
 // granted before (0.25 x rate), and a bucket larger than the burst by 0.1 x rate + 4.
