Show that a spoiled version makes chunk framing the body of a success

One of two servers spoils the last digit of the version in the status line of 5 % of its chunked answers for 5 s, and breaks half of these off. Clients get them as complete successes whose body is the framing as it stood on the wire, cut off where the answer broke off.

Found by sending damaged answers through backend.Client and comparing the results with net/http. Other damage that was compared in about 90 s of random changes (lengths, chunk sizes, trailers, field lines, interim answers, ends of connections) gave no other body than net/http, except with a spoiled version.

--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -23,7 +23,8 @@
 
 // cases maps the name of a case to the function that plays it.
 var cases = map[string]func(f *fleet) error{
-	"lost-rows": playLostRows,
+	"damaged-version": playDamagedVersion,
+	"lost-rows":       playLostRows,
 }
 
 func main() {
