Show that a request runs for another customer by the form of its id

A request whose id continues the id of a running call after a dot is taken for a call of the backend server, also if it bears a key. With the key of another customer, or one that nobody holds, it runs as a request of the running call's customer and gets that customer's data.

--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -23,8 +23,9 @@
 
 // cases maps the name of a case to the function that plays it.
 var cases = map[string]func(f *fleet) error{
-	"damaged-version": playDamagedVersion,
-	"lost-rows":       playLostRows,
+	"damaged-version":  playDamagedVersion,
+	"foreign-customer": playForeignCustomer,
+	"lost-rows":        playLostRows,
 }
 
 func main() {
