--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -27,7 +28,9 @@
 	status    int
 	signature string
 	body      string
-	err       error
+	// retryAfter is when the client should send the request again, or 0.
+	retryAfter time.Duration
+	err        error
 }
 
 // client sends requests to the request address of a machine.
@@ -73,9 +76,11 @@
 			err: err,
 		}
 	}
+	seconds, _ := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
 	return received{
-		status:    response.StatusCode,
-		signature: response.Header.Get("Response-Signature"),
-		body:      string(body),
+		status:     response.StatusCode,
+		signature:  response.Header.Get("Response-Signature"),
+		body:       string(body),
+		retryAfter: time.Duration(seconds * float64(time.Second)),
 	}
 }
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -25,6 +25,7 @@
 var cases = map[string]func(f *fleet) error{
 	"damaged-version":  playDamagedVersion,
 	"foreign-customer": playForeignCustomer,
+	"long-ids":         playLongIDs,
 	"lost-rows":        playLostRows,
 }
 
