--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -25,6 +25,7 @@
 var cases = map[string]func(f *fleet) error{
 	"damaged-version":  playDamagedVersion,
 	"foreign-customer": playForeignCustomer,
+	"forgotten-limit":  playForgottenLimit,
 	"long-ids":         playLongIDs,
 	"lost-rows":        playLostRows,
 }
