--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -23,6 +23,7 @@
 
 // cases maps the name of a case to the function that plays it.
 var cases = map[string]func(f *fleet) error{
+	"crashed-run":      playCrashedRun,
 	"damaged-version":  playDamagedVersion,
 	"foreign-customer": playForeignCustomer,
 	"forgotten-limit":  playForgottenLimit,
