--- a/internal/cli/client_test.go
+++ b/internal/cli/client_test.go
@@ -30,6 +30,19 @@
 	}
 }
 
+// Guards against an operator's command that takes a response whose version was spoiled for a success.
+func TestSpoiledVersionOfANodeIsAnError(t *testing.T) {
+	const (
+		length  = " 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\n{}"
+		chunked = " 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n"
+	)
+	for _, response := range []string{"HTTP/1.0" + chunked, "HTTP/1.2" + chunked, "HTTP/1.2" + length, "HTTP/2.1" + length} {
+		t.Run(strconv.Quote(response), func(t *testing.T) {
+			checkNoResponse(t, response)
+		})
+	}
+}
+
 // checkNoResponse fails unless a call that gets the response fails.
 func checkNoResponse(t *testing.T, response string) {
 	t.Helper()
--- a/internal/connection/responsehead/conn.go
+++ b/internal/connection/responsehead/conn.go
@@ -10,8 +10,8 @@
 	head scanner
 }
 
-// Scan checks the next part of what was received and passes over the body. It returns
-// ErrInvalidStatus or ErrInvalidField for an invalid head.
+// Scan checks the next part of what was received and passes over the body. Its errors for an invalid
+// head are those of this package.
 func (r *Responses) Scan(data []byte) error {
 	for _, next := range data {
 		if r.head.place == placeEnd && r.head.isFinal() {
@@ -28,8 +28,7 @@
 }
 
 // Conn is a connection of an HTTP client that reads a whole response before it writes the next
-// request. Read returns ErrInvalidStatus or ErrInvalidField instead of a response with an invalid
-// head.
+// request. Read returns an error of this package instead of a response with an invalid head.
 type Conn struct {
 	net.Conn
 	responses Responses
--- a/internal/connection/responsehead/head.go
+++ b/internal/connection/responsehead/head.go
@@ -2,7 +2,8 @@
 // libraries are lenient, and a response that they read leniently isn't the one that was sent:
 // fasthttp passes on any three digits as a status and shows 000 as 200, it trims or passes on
 // blanks in the names of fields, and it takes an empty line with a bare line feed for the end of a
-// head whose other lines end with CRLF.
+// head whose other lines end with CRLF. After another version than HTTP/1.1 it ignores
+// Transfer-Encoding, as net/http does after HTTP/1.0, and the chunks become the body.
 package responsehead
 
 import (
@@ -21,6 +22,12 @@
 	maxStatusLineBytes = 64
 	// firstStatus is the lowest status. Interim responses have those up to 199.
 	firstStatus = 100
+	// version11 is the version in which this project's requests are made, and version10 the one in
+	// which an older server responds to them.
+	version11 = "HTTP/1.1"
+	version10 = "HTTP/1.0"
+	// transferEncoding is the name of the field that only version11 has, in lower case.
+	transferEncoding = "transfer-encoding"
 	// switchingProtocols is answered to requests that this project doesn't make.
 	switchingProtocols = 101
 )
@@ -28,15 +35,21 @@
 var (
 	// ErrInvalidStatus is returned for a response whose status line has no status that HTTP allows.
 	ErrInvalidStatus = errors.Wrap(lagoonbarrow.ErrInvalid, "responsehead: invalid status")
+	// ErrInvalidVersion is returned for a response whose status line has a status, but another version
+	// than HTTP/1.1 or HTTP/1.0.
+	ErrInvalidVersion = errors.Wrap(lagoonbarrow.ErrInvalid, "responsehead: invalid version")
+	// ErrInvalidFraming is returned for a response of HTTP/1.0 with a Transfer-Encoding, which that
+	// version doesn't have (RFC 9112, section 6.1).
+	ErrInvalidFraming = errors.Wrap(lagoonbarrow.ErrInvalid, "responsehead: invalid framing")
 	// ErrInvalidField is returned for a response with a field line that has no valid name, is folded,
 	// or is an empty line that doesn't end like the lines before it.
 	ErrInvalidField = errors.Wrap(lagoonbarrow.ErrInvalid, "responsehead: invalid field line")
 )
 
 // Check reads ahead to the end of the next head of the reader, which may be that of an interim
-// response, and consumes nothing. It returns ErrInvalidStatus or ErrInvalidField for an invalid
-// head, bufio.ErrBufferFull for one that exceeds the reader's buffer, and otherwise the error of
-// the reader if the head is incomplete.
+// response, and consumes nothing. It returns one of the errors above for an invalid head,
+// bufio.ErrBufferFull for one that exceeds the reader's buffer, and otherwise the error of the reader
+// if the head is incomplete.
 func Check(reader *bufio.Reader) error {
 	var s scanner
 	for scanned := 0; ; {
@@ -82,6 +95,10 @@
 	length     int
 	// status is 0 until it has been read.
 	status int
+	// isVersion10 is set with the status for a response of HTTP/1.0.
+	isVersion10 bool
+	// name compares the name of the current field with transferEncoding.
+	name nameMatch
 	// previous is the last byte of the line so far.
 	previous byte
 	// hasCRLF is set once a line has ended with CRLF instead of a bare line feed.
@@ -93,7 +110,7 @@
 	return s.status >= lagoonbarrow.StatusFirstFinal
 }
 
-// scan checks the next byte. It returns ErrInvalidStatus or ErrInvalidField.
+// scan checks the next byte. It returns one of the errors above.
 func (s *scanner) scan(next byte) error {
 	switch s.place {
 	case placeStatusLine:
@@ -144,9 +161,17 @@
 	if s.status != 0 {
 		return nil
 	}
-	var err error
-	s.status, err = parseStatus(bytes.TrimRight(s.statusLine[:s.length], "\r"))
-	return err
+	version, rest, _ := bytes.Cut(bytes.TrimRight(s.statusLine[:s.length], "\r"), []byte(" "))
+	status, err := parseStatus(rest)
+	if err != nil {
+		return err
+	}
+	if string(version) != version11 && string(version) != version10 {
+		return ErrInvalidVersion
+	}
+	s.status = status
+	s.isVersion10 = string(version) == version10
+	return nil
 }
 
 func (s *scanner) scanLineStart(next byte) error {
@@ -157,6 +182,8 @@
 		s.place = placeEnd
 	case isNameByte(next):
 		s.place = placeName
+		s.name = nameMatch{}
+		s.name.add(next)
 	default:
 		return ErrInvalidField
 	}
@@ -165,11 +192,15 @@
 
 func (s *scanner) scanName(next byte) error {
 	switch {
+	case next == ':' && s.isVersion10 && s.name.isTransferEncoding():
+		return ErrInvalidFraming
 	case next == ':':
 		s.place = placeValue
 		s.previous = next
 	case !isNameByte(next):
 		return ErrInvalidField
+	default:
+		s.name.add(next)
 	}
 	return nil
 }
@@ -208,9 +239,29 @@
 	}
 }
 
-// parseStatus returns the status of a line, of which further bytes may follow.
-func parseStatus(line []byte) (int, error) {
-	_, rest, _ := bytes.Cut(line, []byte(" "))
+// nameMatch compares the name of a field, byte by byte, with transferEncoding. The zero value is at
+// the start of the name.
+type nameMatch struct {
+	length   int
+	mismatch bool
+}
+
+func (m *nameMatch) add(next byte) {
+	if next >= 'A' && next <= 'Z' {
+		next += 'a' - 'A'
+	}
+	m.mismatch = m.mismatch || m.length >= len(transferEncoding) || transferEncoding[m.length] != next
+	m.length++
+}
+
+// isTransferEncoding reports whether all of the name has been added and matches.
+func (m *nameMatch) isTransferEncoding() bool {
+	return !m.mismatch && m.length == len(transferEncoding)
+}
+
+// parseStatus returns the status of the rest of a status line after its version. Further bytes of the
+// line may follow.
+func parseStatus(rest []byte) (int, error) {
 	digits, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
 	status := 0
 	for _, digit := range digits {
--- a/internal/connection/responsehead/responsehead_test.go
+++ b/internal/connection/responsehead/responsehead_test.go
@@ -54,6 +54,70 @@
 	}
 }
 
+// Guards against a spoiled digit of the version, for which HTTP libraries ignore Transfer-Encoding, so
+// that the framing becomes the body.
+func TestVersions(t *testing.T) {
+	const (
+		end     = "\r\n\r\n"
+		length  = " 200 OK\r\nContent-Length: 2" + end
+		chunked = " 200 OK\r\nTransfer-Encoding: chunked" + end
+	)
+	tests := []struct {
+		head string
+		want error
+	}{
+		{
+			head: "HTTP/1.1" + length,
+		},
+		{
+			head: "HTTP/1.1" + chunked,
+		},
+		{
+			head: "HTTP/1.0" + length,
+		},
+		{
+			head: "HTTP/1.0 200 OK\r\nTransfer-Encodin: a\r\nTransfer-Encoding2: b\r\nX-Transfer-Encoding: c" + end,
+		},
+		{
+			head: "HTTP/1.0" + chunked,
+			want: ErrInvalidFraming,
+		},
+		{
+			head: "HTTP/1.0 200 OK\r\nA: b\r\ntRANSFER-eNCODING:\r\nContent-Length: 2" + end,
+			want: ErrInvalidFraming,
+		},
+		{
+			head: "HTTP/1.0 200 OK\nTransfer-Encoding: identity\n\n",
+			want: ErrInvalidFraming,
+		},
+		{
+			head: emptyInterim + "HTTP/1.0" + chunked,
+			want: ErrInvalidFraming,
+		},
+		{
+			head: emptyInterim + "HTTP/1.2" + length,
+			want: ErrInvalidVersion,
+		},
+	}
+	for _, version := range []string{
+		"HTTP/1.2", "HTTP/1.3", "HTTP/1.4", "HTTP/1.5", "HTTP/1.6", "HTTP/1.7", "HTTP/1.8", "HTTP/1.9", "HTTP/0.1", "HTTP/0.9", "HTTP/2.0", "HTTP/2.1", "HTTP/9.1",
+		"HTTP/1.", "HTTP/1", "HTTP/1.11", "HTTP/01.1", "HTTP/1.1x", "HTTP/1.1\x00", "HTTP/1.1\t", "HTTP/1,1", "HTTQ/1.1", "http/1.1", "XHTTP/1.1", "HTTP", "",
+	} {
+		for _, rest := range []string{length, chunked} {
+			tests = append(tests, struct {
+				head string
+				want error
+			}{
+				head: version + rest,
+				want: ErrInvalidVersion,
+			})
+		}
+	}
+	for _, test := range tests {
+		checkHead(t, test.head, test.want)
+	}
+}
+
 // Guards against a field line with an invalid name that is passed on, and against a valid one that
 // isn't, also if it arrives byte by byte.
 func TestFieldLines(t *testing.T) {
--- a/internal/process/platform/status_test.go
+++ b/internal/process/platform/status_test.go
@@ -33,6 +33,17 @@
 	}
 }
 
+// Guards against a response whose version was spoiled, which is taken for a claim that was made.
+func TestSpoiledVersionIsNoResponse(t *testing.T) {
+	length := " 200 OK\r\nContent-Length: " + strconv.Itoa(len(writtenBody)) + "\r\n\r\n" + writtenBody
+	chunked := " 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + strconv.FormatInt(int64(len(writtenBody)), 16) + "\r\n" + writtenBody + "\r\n0\r\n\r\n"
+	for _, response := range []string{"HTTP/1.0" + chunked, "HTTP/1.2" + chunked, "HTTP/1.2" + length, "HTTP/2.1" + length, "HTTP/1." + length} {
+		t.Run(strconv.Quote(response), func(t *testing.T) {
+			checkNoResponse(t, response)
+		})
+	}
+}
+
 // checkNoResponse fails unless the outcome of a claim that gets the response is unknown.
 func checkNoResponse(t *testing.T, response string) {
 	t.Helper()
--- a/pkg/caller/broken_answer_test.go
+++ b/pkg/caller/broken_answer_test.go
@@ -86,6 +86,36 @@
 	}
 }
 
+// Guards against an answer whose version was spoiled: net/http takes the framing for the body after
+// HTTP/1.0, and reads other versions as if they were HTTP/1.1.
+func TestSpoiledVersionIsNoAnswer(t *testing.T) {
+	const (
+		names   = " 200 OK\r\n" + lagoonbarrow.HeaderOutcome + ": done\r\nConnection: close\r\n"
+		chunked = names + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"
+		length  = names + "Content-Length: 2\r\n\r\nok"
+	)
+	answers := []string{"HTTP/1.0" + chunked, "HTTP/1.0" + chunked + "0\r\n\r\n"}
+	for _, version := range []string{"HTTP/1.2", "HTTP/1.9", "HTTP/0.1", "HTTP/2.1", "HTTP/1.", "HTTQ/1.1"} {
+		answers = append(answers, version+length, version+chunked, version+chunked+"0\r\n\r\n")
+	}
+	for _, answer := range answers {
+		t.Run(fmt.Sprintf("%q", answer), func(t *testing.T) {
+			address := script.Start(t, func(conn *net.TCPConn, in *bufio.Reader) {
+				if _, err := http.ReadRequest(in); err == nil {
+					_, _ = io.WriteString(conn, answer)
+				}
+			})
+			response, err := newClient(t, string(address)).Do(context.Background(), Request{
+				Method: http.MethodPost,
+				Path:   "/resolutions",
+			})
+			if !errors.Is(err, ErrUnknown) {
+				t.Errorf("response %+v, error %v", response, err)
+			}
+		})
+	}
+}
+
 // Guards against an answer on a connection that was used before, which isn't checked.
 func TestInvalidFieldNameOfALaterAnswerIsNoAnswer(t *testing.T) {
 	const valid = "HTTP/1.1 200 OK\r\nLagoonbarrow-Outcome: done\r\nContent-Length: 2\r\n\r\nok"
