Refuse a request with a Transfer-Encoding that is ignored

A POST with "Transfer-Encoding: identity" ran without its body, and with a length beside it with the first bytes of its chunks as body.

Change: the entry looks at the fields as they were received. A Transfer-Encoding on a body that isn't read in chunks gets 400 and ends the connection (RFC 9112, section 6.3). Nothing runs.

--- a/internal/request/entry/body.go
+++ b/internal/request/entry/body.go
@@ -46,6 +46,10 @@
 		b.refuse(ctx, lagoonbarrow.ErrTooLarge)
 		return
 	}
+	if err := checkHead(&ctx.Request.Header); err != nil {
+		b.refuse(ctx, err)
+		return
+	}
 	if !ctx.Request.IsBodyStream() {
 		if !b.connections.mark(ctx.Conn(), stateServing) {
 			b.refuse(ctx, lagoonbarrow.ErrShed)
@@ -73,12 +77,12 @@
 	ctx.Request.SetBodyRaw(nil)
 }
 
-// refuse answers a request whose body was not read, and closes its connection.
+// refuse answers a request whose head is invalid or whose body was not read, and closes its connection.
 func (b *bodyReader) refuse(ctx *fasthttp.RequestCtx, cause error) {
 	handleReadError(ctx, cause)
 	ctx.SetConnectionClose()
 	if count, allowed := b.throttle.Next(); allowed {
-		b.logger.Warn("requests were refused because their bodies could not be read",
+		b.logger.Warn("requests were refused because they could not be read",
 			"count", count, "method", string(ctx.Method()), "client", ctx.RemoteAddr().String(), "status", ctx.Response.StatusCode(), "cause", cause)
 	}
 }
