Refuse a request with a blank in a field name

A field such as "Transfer-Encoding x: chunked" was passed on to the server, which could read it as another one.

Folded lines stay allowed: the library joins them with a blank, as RFC 9112 (section 5.2) says.

--- a/internal/request/entry/head_test.go
+++ b/internal/request/entry/head_test.go
@@ -138,6 +138,27 @@
 	})
 }
 
+// Guards against a field name with a blank that is passed on to a server, which may read another name.
+func TestInvalidFieldNameOfARequestIsRefused(t *testing.T) {
+	const start = "GET /a HTTP/1.1\r\nHost: one.example\r\n"
+	var tests []headTest
+	for _, line := range []string{"X Y: z", "Transfer-Encoding x: chunked", "Content-Length 5: 5", "X\tY: z", "X : y", " X: y", "X\x01: y", "X\x80: y", ": y", "X"} {
+		tests = append(tests, headTest{
+			name:   fmt.Sprintf("%q", line),
+			head:   start + line + "\r\n\r\n" + nextRequest,
+			status: http.StatusBadRequest,
+		})
+	}
+	for _, line := range []string{"X: y z: a", "X: y\r\n Y Z: a", "X: y\r\n\tY", "X:", "!#$%&'*+-.^_`|~09azAZ: y"} {
+		tests = append(tests, headTest{
+			name:   fmt.Sprintf("%q", line),
+			head:   start + "Connection: close\r\n" + line + "\r\n\r\n",
+			status: http.StatusOK,
+		})
+	}
+	checkHeads(t, tests)
+}
+
 // Guards against a spoiled version of a request that changes where its body ends.
 func TestSpoiledVersionOfARequest(t *testing.T) {
 	const fields = "\r\nHost: one.example\r\nConnection: close\r\n"
