--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -13,9 +13,10 @@
 type Config struct {
 	Self   lagoonbarrow.InstanceID
 	Logger hclog.Logger
-	// OnOwnRow is called with this node's row, whose version is 0 if it does not exist. It
+	// OnOwnRow is called with this node's row in the table at a version; the row's own version is 0
+	// if it does not exist. It is called for each later version, also if the row has not changed. It
 	// may call the directory.
-	OnOwnRow func(row lagoonbarrow.Row)
+	OnOwnRow func(row lagoonbarrow.Row, table lagoonbarrow.RowVersion)
 	// OnChange is called with the ids of all instances after a change. It may be nil.
 	OnChange func(ids map[lagoonbarrow.InstanceID]bool)
 }
@@ -28,6 +29,8 @@
 	entries map[lagoonbarrow.InstanceID]lagoonbarrow.Instance
 	// versions holds the row versions of the other instances.
 	versions map[lagoonbarrow.InstanceID]lagoonbarrow.RowVersion
+	// ownRow is this node's row, whose version is 0 if it does not exist.
+	ownRow lagoonbarrow.Row
 	// ready holds the ready instances by service. Each change replaces the whole map.
 	ready atomic.Pointer[map[lagoonbarrow.ServiceName][]lagoonbarrow.Instance]
 	// loaded is set after the first Replace.
@@ -55,23 +58,23 @@
 	return (*d.ready.Load())[service]
 }
 
-// Replace replaces the instances with those in rows, which are all rows of the table.
-func (d *Directory) Replace(rows []lagoonbarrow.Row) {
-	d.config.OnOwnRow(d.replaceOthers(rows))
+// Replace replaces the instances with those in rows, which are all rows of the table at a version.
+func (d *Directory) Replace(rows []lagoonbarrow.Row, version lagoonbarrow.RowVersion) {
+	d.config.OnOwnRow(d.replaceRows(rows), version)
 	d.loaded.Store(true)
 }
 
-// replaceOthers replaces the other instances and returns this node's row.
-func (d *Directory) replaceOthers(rows []lagoonbarrow.Row) lagoonbarrow.Row {
+// replaceRows replaces the other instances and this node's row, which it returns.
+func (d *Directory) replaceRows(rows []lagoonbarrow.Row) lagoonbarrow.Row {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	ownRow := lagoonbarrow.Row{}
+	d.ownRow = lagoonbarrow.Row{}
 	previous := d.entries
 	d.entries = map[lagoonbarrow.InstanceID]lagoonbarrow.Instance{}
 	d.versions = map[lagoonbarrow.InstanceID]lagoonbarrow.RowVersion{}
 	for _, row := range rows {
 		if row.Key == string(d.config.Self) {
-			ownRow = row
+			d.ownRow = row
 			continue
 		}
 		if !d.setInstance(row) {
@@ -82,31 +85,25 @@
 		d.entries[d.config.Self] = self
 	}
 	d.publish()
-	return ownRow
+	return d.ownRow
 }
 
-// Apply applies row changes in order.
-func (d *Directory) Apply(changes []lagoonbarrow.Change) {
-	d.applyOthers(changes)
-	for _, change := range changes {
-		switch {
-		case change.Row.Key != string(d.config.Self):
-		case change.Deleted:
-			d.config.OnOwnRow(lagoonbarrow.Row{})
-		default:
-			d.config.OnOwnRow(change.Row)
-		}
-	}
+// Apply applies the row changes up to a version, in order. There may be none.
+func (d *Directory) Apply(changes []lagoonbarrow.Change, version lagoonbarrow.RowVersion) {
+	d.config.OnOwnRow(d.applyChanges(changes), version)
 }
 
-// applyOthers applies the changes of other instances.
-func (d *Directory) applyOthers(changes []lagoonbarrow.Change) {
+// applyChanges applies the changes of other instances and of this node's row, which it returns.
+func (d *Directory) applyChanges(changes []lagoonbarrow.Change) lagoonbarrow.Row {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, change := range changes {
 		id := lagoonbarrow.InstanceID(change.Row.Key)
 		switch {
+		case id == d.config.Self && change.Deleted:
+			d.ownRow = lagoonbarrow.Row{}
 		case id == d.config.Self:
+			d.ownRow = change.Row
 		case change.Deleted:
 			delete(d.entries, id)
 			delete(d.versions, id)
@@ -114,7 +111,10 @@
 			d.setInstance(change.Row)
 		}
 	}
-	d.publish()
+	if len(changes) > 0 {
+		d.publish()
+	}
+	return d.ownRow
 }
 
 // setInstance adds or updates another instance from its row. It skips an invalid row and
--- a/internal/process/directory/directory_test.go
+++ b/internal/process/directory/directory_test.go
@@ -14,6 +14,8 @@
 type ownRow struct {
 	version lagoonbarrow.RowVersion
 	row     lagoonbarrow.Row
+	// table is the version of the table in which the row is so.
+	table lagoonbarrow.RowVersion
 }
 
 func newDirectory() (*Directory, *ownRow) {
@@ -21,9 +23,10 @@
 	return New(Config{
 		Self:   "self",
 		Logger: hclog.NewNullLogger(),
-		OnOwnRow: func(row lagoonbarrow.Row) {
+		OnOwnRow: func(row lagoonbarrow.Row, table lagoonbarrow.RowVersion) {
 			own.version = row.Version
 			own.row = row
+			own.table = table
 		},
 	}), own
 }
@@ -66,18 +69,18 @@
 	directory.Replace([]lagoonbarrow.Row{
 		newRow(t, "a", lagoonbarrow.StateReady, 1),
 		newRow(t, "b", lagoonbarrow.StateLeaving, 2),
-	})
+	}, 2)
 	if found := directory.Instances("alpha"); len(found) != 1 || found[0].ID != "a" {
 		t.Fatalf("instances %v", found)
 	}
 	directory.Apply([]lagoonbarrow.Change{
 		newChange(newRow(t, "b", lagoonbarrow.StateReady, 3), false),
 		newChange(newRow(t, "a", lagoonbarrow.StateReady, 4), true),
-	})
+	}, 4)
 	if found := directory.Instances("alpha"); len(found) != 1 || found[0].ID != "b" {
 		t.Fatalf("instances %v", found)
 	}
-	directory.Replace(nil)
+	directory.Replace(nil, 5)
 	if found := directory.Instances("alpha"); len(found) != 0 {
 		t.Fatalf("instances %v after all rows were removed", found)
 	}
@@ -96,7 +99,7 @@
 	for name, want := range states {
 		row := newRow(t, "a", lagoonbarrow.StateReady, 1)
 		row.Value = []byte(strings.ReplaceAll(string(row.Value), `"state":"ready"`, `"state":"`+name+`"`))
-		directory.Replace([]lagoonbarrow.Row{row})
+		directory.Replace([]lagoonbarrow.Row{row}, 1)
 		if all := directory.All(); len(all) != 1 || all[0].State != want {
 			t.Errorf("%s: %v", name, all)
 		}
@@ -106,7 +109,7 @@
 // Guards against invalid rows of other writers that add or remove an instance.
 func TestInvalidRowsChangeNothing(t *testing.T) {
 	directory, _ := newDirectory()
-	directory.Replace([]lagoonbarrow.Row{newRow(t, "a", lagoonbarrow.StateReady, 1)})
+	directory.Replace([]lagoonbarrow.Row{newRow(t, "a", lagoonbarrow.StateReady, 1)}, 1)
 	invalid := []string{
 		"", "{", "[]", `{"service":7}`, `{"service":"alpha"}`, `{"service":"alpha","peer":"x","slots":"many"}`,
 		`{"service":"alpha","peer":"10.0.0.1:99000","slots":10,"state":"ready"}`,
@@ -129,7 +132,7 @@
 				Key:   "forged",
 				Value: []byte(value),
 			}, false),
-		})
+		}, 2)
 	}
 	if found := directory.Instances("alpha"); len(found) != 1 || found[0].ID != "a" {
 		t.Fatalf("instances %v", found)
@@ -140,12 +143,12 @@
 // all rows are read again. Its node writes the row again.
 func TestInvalidRowDoesNotRemoveAnInstance(t *testing.T) {
 	directory, _ := newDirectory()
-	directory.Replace([]lagoonbarrow.Row{newRow(t, "a", lagoonbarrow.StateReady, 1), newRow(t, "b", lagoonbarrow.StateReady, 2)})
+	directory.Replace([]lagoonbarrow.Row{newRow(t, "a", lagoonbarrow.StateReady, 1), newRow(t, "b", lagoonbarrow.StateReady, 2)}, 2)
 	directory.Replace([]lagoonbarrow.Row{{
 		Key:     "a",
 		Version: 3,
 		Value:   []byte("{"),
-	}})
+	}}, 3)
 	if found := directory.Instances("alpha"); len(found) != 1 || found[0].ID != "a" {
 		t.Fatalf("instances %v", found)
 	}
@@ -160,16 +163,69 @@
 		Service: "alpha",
 		State:   lagoonbarrow.StateReady,
 	})
-	directory.Replace([]lagoonbarrow.Row{newRow(t, "self", lagoonbarrow.StateLeaving, 5)})
+	directory.Replace([]lagoonbarrow.Row{newRow(t, "self", lagoonbarrow.StateLeaving, 5)}, 5)
 	if found := directory.Instances("alpha"); len(found) != 1 || own.version != 5 {
 		t.Fatalf("instances %v, own version %d", found, own.version)
 	}
-	directory.Apply([]lagoonbarrow.Change{newChange(newRow(t, "self", lagoonbarrow.StateReady, 6), true)})
+	directory.Apply([]lagoonbarrow.Change{newChange(newRow(t, "self", lagoonbarrow.StateReady, 6), true)}, 6)
 	if found := directory.Instances("alpha"); len(found) != 1 || own.version != 0 {
 		t.Fatalf("instances %v, own version %d", found, own.version)
 	}
 }
 
+// Guards against a node that isn't told that the table at a later version lacks its row, because no
+// change names the row.
+func TestOwnRowIsReportedAtEachVersion(t *testing.T) {
+	directory, own := newDirectory()
+	others := []lagoonbarrow.Row{newRow(t, "a", lagoonbarrow.StateReady, 1)}
+	steps := []struct {
+		name        string
+		step        func()
+		wantVersion lagoonbarrow.RowVersion
+		wantTable   lagoonbarrow.RowVersion
+	}{
+		{
+			name:      "all rows without the own one",
+			step:      func() { directory.Replace(others, 2) },
+			wantTable: 2,
+		},
+		{
+			name: "change of another row",
+			step: func() {
+				directory.Apply([]lagoonbarrow.Change{newChange(newRow(t, "a", lagoonbarrow.StateLeaving, 3), false)}, 3)
+			},
+			wantTable: 3,
+		},
+		{
+			name: "own row",
+			step: func() {
+				directory.Apply([]lagoonbarrow.Change{newChange(newRow(t, "self", lagoonbarrow.StateReady, 4), false)}, 5)
+			},
+			wantVersion: 4,
+			wantTable:   5,
+		},
+		{
+			name:        "no changes",
+			step:        func() { directory.Apply(nil, 6) },
+			wantVersion: 4,
+			wantTable:   6,
+		},
+		{
+			name: "removal of the own row",
+			step: func() {
+				directory.Apply([]lagoonbarrow.Change{newChange(newRow(t, "self", lagoonbarrow.StateReady, 7), true)}, 7)
+			},
+			wantTable: 7,
+		},
+	}
+	for _, test := range steps {
+		test.step()
+		if own.version != test.wantVersion || own.table != test.wantTable {
+			t.Errorf("%s: own row at version %s in the table at version %s", test.name, own.version, own.table)
+		}
+	}
+}
+
 // Guards against a departure that a row doesn't keep for the next process of the node.
 func TestRowKeepsTheDeparture(t *testing.T) {
 	started := time.UnixMilli(1700000000123)
@@ -204,7 +260,7 @@
 			Key:     "self",
 			Version: 1,
 			Value:   value,
-		}})
+		}}, 1)
 		server, err := DecodeServer(own.row)
 		if err != nil || server.ID != "i-1" || server.Left != left || left && (!server.Started.Equal(started) || !server.AllLeftAt.Equal(started)) {
 			t.Errorf("server %+v, error %v", server, err)
--- a/internal/process/feed/fleet_test.go
+++ b/internal/process/feed/fleet_test.go
@@ -365,8 +365,8 @@
 			Feed:        n.feed,
 			Table:       tableName,
 			PollTimeout: 100 * time.Millisecond,
-			Replace:     func([]lagoonbarrow.Row) {},
-			Apply:       func([]lagoonbarrow.Change) {},
+			Replace:     func([]lagoonbarrow.Row, lagoonbarrow.RowVersion) {},
+			Apply:       func([]lagoonbarrow.Change, lagoonbarrow.RowVersion) {},
 			Logger:      hclog.NewNullLogger(),
 		})
 		reads.Start()
--- a/internal/process/feed/simulation_test.go
+++ b/internal/process/feed/simulation_test.go
@@ -234,7 +234,7 @@
 	f.Start()
 }
 
-func (n *simulatedNode) replaceRows(rows []lagoonbarrow.Row) {
+func (n *simulatedNode) replaceRows(rows []lagoonbarrow.Row, _ lagoonbarrow.RowVersion) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.rows = map[string]lagoonbarrow.Row{}
@@ -243,7 +243,7 @@
 	}
 }
 
-func (n *simulatedNode) applyChanges(changes []lagoonbarrow.Change) {
+func (n *simulatedNode) applyChanges(changes []lagoonbarrow.Change, _ lagoonbarrow.RowVersion) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, change := range changes {
--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -27,9 +27,11 @@
 	// PollTimeout is the maximum time that one call waits for changes. A silent
 	// connection is detected after this time.
 	PollTimeout time.Duration
-	// Replace is called with all rows, Apply with changes in order.
-	Replace func(rows []lagoonbarrow.Row)
-	Apply   func(changes []lagoonbarrow.Change)
+	// Replace is called with all rows of the table at a version.
+	Replace func(rows []lagoonbarrow.Row, version lagoonbarrow.RowVersion)
+	// Apply is called with the changes up to a version, in order. There may be none: then the table
+	// at this version is as it was.
+	Apply func(changes []lagoonbarrow.Change, version lagoonbarrow.RowVersion)
 	// BatchDelay is the delay after changes before the next call. Further changes
 	// accumulate meanwhile.
 	BatchDelay time.Duration
@@ -91,13 +93,13 @@
 		if f.config.NeedsRefresh != nil && !f.config.NeedsRefresh() {
 			continue
 		}
-		rows, _, err := f.config.Feed.Rows(ctx, f.config.Table)
+		rows, version, err := f.config.Feed.Rows(ctx, f.config.Table)
 		if err != nil {
 			f.config.Logger.Warn("refresh of a table failed", "table", f.config.Table, "error", err)
 			backoff.Pause(ctx, refreshRetryDelay)
 			continue
 		}
-		f.config.Replace(rows)
+		f.config.Replace(rows, version)
 	}
 }
 
@@ -128,15 +130,17 @@
 		if err != nil {
 			return 0, err
 		}
-		f.config.Replace(rows)
+		f.config.Replace(rows, read)
 		return read, nil
 	}
 	changes, next, err := f.config.Feed.Changes(ctx, f.config.Table, version, f.config.PollTimeout)
 	if err != nil {
 		return 0, err
 	}
+	if len(changes) > 0 || next > version {
+		f.config.Apply(changes, next)
+	}
 	if len(changes) > 0 {
-		f.config.Apply(changes)
 		backoff.Pause(ctx, f.config.BatchDelay)
 	}
 	return max(next, version), nil
--- a/internal/process/follower/follower_test.go
+++ b/internal/process/follower/follower_test.go
@@ -20,20 +20,24 @@
 type tableCopy struct {
 	mu   sync.Mutex
 	rows map[string]string
+	// version is the last version that the follower reported.
+	version lagoonbarrow.RowVersion
 }
 
-func (c *tableCopy) replace(rows []lagoonbarrow.Row) {
+func (c *tableCopy) replace(rows []lagoonbarrow.Row, version lagoonbarrow.RowVersion) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.version = version
 	c.rows = map[string]string{}
 	for _, row := range rows {
 		c.rows[row.Key] = string(row.Value)
 	}
 }
 
-func (c *tableCopy) apply(changes []lagoonbarrow.Change) {
+func (c *tableCopy) apply(changes []lagoonbarrow.Change, version lagoonbarrow.RowVersion) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.version = version
 	for _, change := range changes {
 		delete(c.rows, change.Row.Key)
 		if !change.Deleted {
@@ -135,6 +139,24 @@
 	replica.waitFor(t, "map[a:1]")
 }
 
+// Guards against a table whose later version isn't reported because none of its rows has changed.
+func TestVersionsWithoutChangesAreReported(t *testing.T) {
+	replica, server, _ := startFollower(t)
+	server.Put("table", "a", []byte("1"))
+	replica.waitFor(t, "map[a:1]")
+	want := lagoonbarrow.NewRowVersion(1, server.Put("other", "b", []byte("2")))
+	for range 1000 {
+		replica.mu.Lock()
+		reported := replica.version
+		replica.mu.Unlock()
+		if reported == want {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Errorf("version %s was not reported", want)
+}
+
 // partialFeed is a feed that has lost the history once and then has changes, but no rows.
 type partialFeed struct {
 	mu    sync.Mutex
--- a/internal/process/registration/row.go
+++ b/internal/process/registration/row.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"slices"
 	"sync"
 
 	"github.com/hashicorp/go-hclog"
@@ -30,9 +31,12 @@
 
 	mu     sync.Mutex
 	wanted []byte
-	// written is the last known value of the row in the store, and version its version.
+	// written is the last known value of the row in the store, and version its version, or 0 if the
+	// row does not exist.
 	written []byte
 	version lagoonbarrow.RowVersion
+	// knownAt is the version of the table at which the row is known to be so.
+	knownAt lagoonbarrow.RowVersion
 	// versionKnown is set after the first call of ObserveRow.
 	versionKnown bool
 	// changed is closed when the known value of the row changes.
@@ -68,24 +72,36 @@
 	w.signal()
 }
 
-// ObserveRow records the row as it is in the store; its version is 0 if it does not exist.
-// An older version than the last known one is ignored.
-func (w *RowWriter) ObserveRow(row lagoonbarrow.Row) {
+// ObserveRow records the row in the table at a version; the row's own version is 0 if it does not
+// exist. A table from before the last known write is ignored. A later one without that write has
+// lost it, or never had it since the store was restored: nothing else may tell of that.
+func (w *RowWriter) ObserveRow(row lagoonbarrow.Row, table lagoonbarrow.RowVersion) {
 	w.mu.Lock()
-	if row.Version > w.version || row.Version == 0 {
-		// Another writer, an earlier process of this node, a late write of this node or a
-		// restore of the store may have changed the row.
-		w.setWritten(row.Value, row.Version)
-	}
+	previous := w.version
+	w.setWritten(row, table)
 	w.versionKnown = true
+	changed := w.version != previous
 	w.mu.Unlock()
+	if changed {
+		// Another writer, an earlier process of this node, a late write of this node or a
+		// restore of the store has changed the row.
+		w.config.Logger.Info("the node's row was changed or lost in the store", "exists", row.Version != 0, "version", row.Version.String(), "known-version", previous.String(), "table-version", table.String())
+	}
 	w.signal()
 }
 
-// setWritten sets the last known value of the row and its version. The caller holds the mutex.
-func (w *RowWriter) setWritten(value []byte, version lagoonbarrow.RowVersion) {
-	w.written = value
-	w.version = version
+// setWritten sets the row as it is in the table at a version, unless it is known at a later one. The
+// caller holds the mutex.
+func (w *RowWriter) setWritten(row lagoonbarrow.Row, table lagoonbarrow.RowVersion) {
+	if table < w.knownAt {
+		return
+	}
+	w.knownAt = max(table, row.Version)
+	if row.Version == w.version && w.versionKnown {
+		return
+	}
+	w.version = row.Version
+	w.written = row.Value
 	close(w.changed)
 	w.changed = make(chan struct{})
 }
@@ -165,25 +181,23 @@
 func (w *RowWriter) recordWrite(value []byte, version lagoonbarrow.RowVersion) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if version >= w.version {
-		w.setWritten(value, version)
-	}
+	w.setWritten(lagoonbarrow.Row{
+		Version: version,
+		Value:   value,
+	}, version)
 }
 
 // reread reads the row's value and version after a conflict or an unknown outcome.
 func (w *RowWriter) reread(ctx context.Context) {
-	rows, _, err := w.config.Store.Rows(ctx, w.config.Table)
+	rows, table, err := w.config.Store.Rows(ctx, w.config.Table)
 	if err != nil {
 		w.config.Logger.Warn("reading the node's row failed", "error", err)
 		return
 	}
-	for _, row := range rows {
-		if row.Key == w.config.Key {
-			w.mu.Lock()
-			w.setWritten(row.Value, row.Version)
-			w.mu.Unlock()
-			return
-		}
+	own := slices.IndexFunc(rows, func(row lagoonbarrow.Row) bool { return row.Key == w.config.Key })
+	if own < 0 {
+		w.ObserveRow(lagoonbarrow.Row{}, table)
+		return
 	}
-	w.ObserveRow(lagoonbarrow.Row{})
+	w.ObserveRow(rows[own], table)
 }
--- a/internal/process/registration/row_test.go
+++ b/internal/process/registration/row_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -74,7 +75,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			writer, server := startRowWriter(t)
 			server.SetFaults(test.faults)
-			writer.ObserveRow(lagoonbarrow.Row{})
+			writer.ObserveRow(lagoonbarrow.Row{}, 0)
 			writer.SetValue([]byte("first"))
 			time.Sleep(150 * time.Millisecond)
 			writer.SetValue([]byte("second"))
@@ -91,17 +92,18 @@
 // Guards against a row that keeps the change or removal of another writer.
 func TestRowIsRestored(t *testing.T) {
 	writer, server := startRowWriter(t)
-	writer.ObserveRow(lagoonbarrow.Row{})
+	writer.ObserveRow(lagoonbarrow.Row{}, 0)
 	writer.SetValue([]byte("value"))
 	awaitRow(t, server, "value")
 	version := server.Put("table", "own", []byte("forged"))
 	writer.ObserveRow(lagoonbarrow.Row{
 		Version: lagoonbarrow.NewRowVersion(1, version),
 		Value:   []byte("forged"),
-	})
+	}, lagoonbarrow.NewRowVersion(1, version))
 	awaitRow(t, server, "value")
 	server.Remove("table", "own")
-	writer.ObserveRow(lagoonbarrow.Row{})
+	// The row was written again and then removed.
+	writer.ObserveRow(lagoonbarrow.Row{}, lagoonbarrow.NewRowVersion(1, version+2))
 	awaitRow(t, server, "value")
 }
 
@@ -128,14 +130,14 @@
 	})
 	writer.Start()
 	defer writer.Stop()
-	writer.ObserveRow(lagoonbarrow.Row{})
+	writer.ObserveRow(lagoonbarrow.Row{}, 0)
 	for range 20 {
 		writer.SetValue([]byte("value"))
 		time.Sleep(time.Millisecond)
 		writer.ObserveRow(lagoonbarrow.Row{
 			Version: 1,
 			Value:   []byte("value"),
-		})
+		}, 1)
 	}
 	store.mu.Lock()
 	defer store.mu.Unlock()
@@ -148,7 +150,7 @@
 func TestLateWriteFromBeforeARestoreIsReplaced(t *testing.T) {
 	const lateWrite = 300 * time.Millisecond
 	writer, server := startRowWriter(t)
-	writer.ObserveRow(lagoonbarrow.Row{})
+	writer.ObserveRow(lagoonbarrow.Row{}, 0)
 	writer.SetValue([]byte("first"))
 	awaitRow(t, server, "first")
 	before := server.Copy()
@@ -166,13 +168,102 @@
 	awaitRow(t, server, "last")
 }
 
+// Guards against a row that stays lost after a restore because no change names it: only the table at
+// a later version shows that the row is missing.
+func TestRowThatALaterTableLacksIsWrittenAgain(t *testing.T) {
+	writer, server := startRowWriter(t)
+	writer.ObserveRow(lagoonbarrow.Row{}, 0)
+	before := server.Copy()
+	writer.SetValue([]byte("value"))
+	awaitRow(t, server, "value")
+	server.Restore(before)
+	// The restored store's numbers are lower.
+	writer.ObserveRow(lagoonbarrow.Row{}, lagoonbarrow.NewRowVersion(2, 0))
+	awaitRow(t, server, "value")
+}
+
+// Guards against a write for each table from before the last write, which lacks it.
+func TestRowThatAnEarlierTableLacksIsNotWrittenAgain(t *testing.T) {
+	store := &countingStore{}
+	writer := NewRowWriter(RowWriterConfig{
+		Store:  store,
+		Logger: hclog.NewNullLogger(),
+	})
+	writer.Start()
+	defer writer.Stop()
+	writer.ObserveRow(lagoonbarrow.Row{}, 0)
+	writer.SetValue([]byte("value"))
+	if err := writer.Wait(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	writer.ObserveRow(lagoonbarrow.Row{}, 0)
+	time.Sleep(50 * time.Millisecond)
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	if store.writes != 1 {
+		t.Errorf("%d writes", store.writes)
+	}
+}
+
+// lateStore performs writes, and answers the first one only once it is released.
+type lateStore struct {
+	countingStore
+	released chan struct{}
+	// restored is set for versions of the era after a restore.
+	restored atomic.Bool
+}
+
+func (s *lateStore) Put(ctx context.Context, write lagoonbarrow.Write) (lagoonbarrow.RowVersion, error) {
+	era := lagoonbarrow.Era(1)
+	if s.restored.Load() {
+		era++
+	}
+	number, err := s.countingStore.Put(ctx, write)
+	<-s.released
+	return lagoonbarrow.NewRowVersion(era, number.Number()), err
+}
+
+// Guards against the response to a write from before a restore that arrives after the node has
+// learned that the row is lost, and hides the loss.
+func TestLateResponseToAWriteDoesNotHideThatItIsLost(t *testing.T) {
+	store := &lateStore{
+		released: make(chan struct{}),
+	}
+	writer := NewRowWriter(RowWriterConfig{
+		Store:  store,
+		Logger: hclog.NewNullLogger(),
+	})
+	writer.Start()
+	defer writer.Stop()
+	writes := func() int {
+		store.mu.Lock()
+		defer store.mu.Unlock()
+		return store.writes
+	}
+	writer.ObserveRow(lagoonbarrow.Row{}, lagoonbarrow.NewRowVersion(1, 0))
+	writer.SetValue([]byte("value"))
+	for writes() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	store.restored.Store(true)
+	writer.ObserveRow(lagoonbarrow.Row{}, lagoonbarrow.NewRowVersion(2, 0))
+	close(store.released)
+	for range 1000 {
+		if writes() == 2 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Errorf("%d writes", writes())
+}
+
 // Guards against a departure that counts as recorded while the store doesn't have the row.
 func TestWaitEndsOnceTheStoreHasTheRow(t *testing.T) {
 	writer, server := startRowWriter(t)
 	server.SetFaults(standin.Faults{
 		Failure: standin.FailBusy,
 	})
-	writer.ObserveRow(lagoonbarrow.Row{})
+	writer.ObserveRow(lagoonbarrow.Row{}, 0)
 	writer.SetValue([]byte("value"))
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer cancel()
--- a/internal/process/sidecar/configuration.go
+++ b/internal/process/sidecar/configuration.go
@@ -6,13 +6,13 @@
 )
 
 // applyConfigurationRows puts the configuration among all rows of its table in force.
-func (s *Sidecar) applyConfigurationRows(rows []lagoonbarrow.Row) {
+func (s *Sidecar) applyConfigurationRows(rows []lagoonbarrow.Row, _ lagoonbarrow.RowVersion) {
 	for _, row := range rows {
 		s.applyConfiguration(row)
 	}
 }
 
-func (s *Sidecar) applyConfigurationChanges(changes []lagoonbarrow.Change) {
+func (s *Sidecar) applyConfigurationChanges(changes []lagoonbarrow.Change, _ lagoonbarrow.RowVersion) {
 	for _, change := range changes {
 		if !change.Deleted {
 			s.applyConfiguration(change.Row)
--- a/internal/process/sidecar/instance.go
+++ b/internal/process/sidecar/instance.go
@@ -54,14 +54,14 @@
 	return s.rowWriter.Wait(ctx)
 }
 
-// ownRowRead processes this node's row as it is in the store. The first one read was
+// ownRowRead processes this node's row in the table at a version. The first one read was
 // written by an earlier process, which may have acknowledged that the backend server leaves.
-func (s *Sidecar) ownRowRead(row lagoonbarrow.Row) {
+func (s *Sidecar) ownRowRead(row lagoonbarrow.Row, table lagoonbarrow.RowVersion) {
 	if !s.ownRowKnown.Swap(true) && row.Version != 0 {
 		s.restoreDeparture(row)
 	}
 	// Only now may the row be written, as it may be the only record of the departure.
-	s.rowWriter.ObserveRow(row)
+	s.rowWriter.ObserveRow(row, table)
 }
 
 // restoreDeparture processes a row that an earlier process of this node has written.
--- a/internal/process/sidecar/restore_test.go
+++ b/internal/process/sidecar/restore_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"lagoonbarrow"
 	"lagoonbarrow/internal/process/directory"
 	"lagoonbarrow/platform/standin"
@@ -232,6 +235,73 @@
 	}
 }
 
+// lastIDs returns the ids of nodes that the others don't query for changes, and that don't read them
+// from the store themselves: the ids of the members have lower hashes.
+func (f *fleet) lastIDs(count int) []string {
+	highest := uint64(0)
+	for _, m := range f.members {
+		highest = max(highest, xxhash.Sum64String(string(m.sidecar.settings.Instance)))
+	}
+	var ids []string
+	for i := len(f.members); len(ids) < count; i++ {
+		id := fmt.Sprintf("node-%d", i)
+		if xxhash.Sum64String(id) > highest {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// join starts a member whose server has not sent a heartbeat yet.
+func (f *fleet) join(id, service string) *member {
+	f.t.Helper()
+	server, err := standin.NewServer(standin.ServerConfig{
+		ID:      "i-" + id,
+		Service: service,
+		Slots:   20,
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(server.Close)
+	m := &member{
+		sidecar: f.startAs(lagoonbarrow.InstanceID(id), service, server.Address()),
+		server:  server,
+	}
+	f.waitFor("the joining sidecar knows the others", func() bool { return len(m.sidecar.directory.Instances("alpha")) == 2 })
+	return m
+}
+
+// Guards against a node whose row a restore has lost before any other node had read it: it is never
+// told of the loss, and no other node ever knows it.
+func TestRowThatNoOtherNodeHasReadIsWrittenAgainAfterARestore(t *testing.T) {
+	f := newFleet(t, 0, nil)
+	ids := f.lastIDs(3)
+	var joined []*member
+	for _, id := range ids {
+		joined = append(joined, f.join(id, "gamma"))
+	}
+	time.Sleep(pollBound)
+	before := f.store.Copy()
+	// The nodes collect further changes for a time after this one.
+	f.store.Put(directory.Table, "other", []byte("{}"))
+	time.Sleep(instancesBatchDelay / 3)
+	for _, m := range joined {
+		if err := m.server.SendHeartbeat(m.sidecar.settings.HeartbeatAddress); err != nil {
+			t.Fatal(err)
+		}
+	}
+	hasRows := func() bool {
+		return !slices.ContainsFunc(ids, func(id string) bool { return f.store.Value(directory.Table, id) == nil })
+	}
+	f.waitFor("the store has the rows", hasRows)
+	f.store.Restore(before)
+	f.within(2*applyBound, "the store has the rows again", hasRows)
+	f.within(applyBound, "all nodes know the instances", func() bool {
+		return !slices.ContainsFunc(f.members, func(m *member) bool { return len(m.sidecar.directory.Instances("gamma")) != len(ids) })
+	})
+}
+
 // restart ends the sidecar of a member and starts another one beside its server.
 func (f *fleet) restart(m *member) {
 	f.t.Helper()
