--- a/internal/process/sidecar/restore_test.go
+++ b/internal/process/sidecar/restore_test.go
@@ -275,6 +275,24 @@
 // Guards against a node whose row a restore has lost before any other node had read it: it is never
 // told of the loss, and no other node ever knows it.
 func TestRowThatNoOtherNodeHasReadIsWrittenAgainAfterARestore(t *testing.T) {
+	checkLostRows(t, func(f *fleet, _ []string, before standin.Copy) { f.store.Restore(before) })
+}
+
+// Guards against the same after rows were removed, and the store has dropped the history with that.
+func TestRowThatNoOtherNodeHasReadIsWrittenAgainAfterItsRemoval(t *testing.T) {
+	checkLostRows(t, func(f *fleet, ids []string, _ standin.Copy) {
+		for _, id := range ids {
+			f.store.Remove(directory.Table, id)
+		}
+		f.store.DropHistory()
+	})
+}
+
+// checkLostRows lets three nodes join and lose takes their rows from the store as soon as it has them.
+// It is called with the ids and a copy of the store from before. checkLostRows fails unless the rows
+// are written again, and all nodes know the instances.
+func checkLostRows(t *testing.T, lose func(f *fleet, ids []string, before standin.Copy)) {
+	t.Helper()
 	f := newFleet(t, 0, nil)
 	ids := f.lastIDs(3)
 	var joined []*member
@@ -295,7 +313,7 @@
 		return !slices.ContainsFunc(ids, func(id string) bool { return f.store.Value(directory.Table, id) == nil })
 	}
 	f.waitFor("the store has the rows", hasRows)
-	f.store.Restore(before)
+	lose(f, ids, before)
 	f.within(2*applyBound, "the store has the rows again", hasRows)
 	f.within(applyBound, "all nodes know the instances", func() bool {
 		return !slices.ContainsFunc(f.members, func(m *member) bool { return len(m.sidecar.directory.Instances("gamma")) != len(ids) })
