--- a/internal/process/sidecar/restore_test.go
+++ b/internal/process/sidecar/restore_test.go
@@ -358,6 +358,27 @@
 	})
 }
 
+// Guards against rows, the key of the nodes or the configuration that stay lost when the store comes back
+// from a copy without any of them.
+func TestEverythingIsWrittenAgainAfterARestoreOfAnEmptyStore(t *testing.T) {
+	empty, err := standin.NewStore(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(empty.Close)
+	f := newFleet(t, 0, nil)
+	key := f.store.Value(keyTable, keyRow)
+	f.restore(empty.Copy())
+	f.within(2*applyBound, "the store has the rows of all nodes", func() bool {
+		return !slices.ContainsFunc(f.members, func(m *member) bool {
+			return f.store.Value(directory.Table, string(m.sidecar.settings.Instance)) == nil
+		})
+	})
+	f.within(maxKeyCheckDelay+applyBound, "the store has the key", func() bool { return string(f.store.Value(keyTable, keyRow)) == string(key) })
+	f.configure("beta")
+	f.within(applyBound, "the configuration that the operator writes again is in force", f.inForce)
+}
+
 // Guards against a write of each node after a restore that has not changed its row.
 func TestUnchangedRowsAreNotWrittenAfterARestore(t *testing.T) {
 	f := newFleet(t, 0, nil)
