--- a/internal/request/backend/header.go
+++ b/internal/request/backend/header.go
@@ -6,27 +6,14 @@
 	"github.com/valyala/fasthttp"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/connection/header"
 )
 
 // connectionHeader is the header that lists further hop-by-hop headers.
 const connectionHeader = "connection"
 
-// hopByHopHeaders are the headers of a single connection (RFC 9110, section 7.6.1),
-// and those that are set again for each request.
-var hopByHopHeaders = map[string]bool{
-	connectionHeader:      true,
-	"keep-alive":          true,
-	"proxy-connection":    true,
-	"proxy-authenticate":  true,
-	"proxy-authorization": true,
-	"te":                  true,
-	"trailer":             true,
-	"transfer-encoding":   true,
-	"upgrade":             true,
-	"content-length":      true,
-	"host":                true,
-	"expect":              true,
-}
+// expectHeader is set again for each request, where it is needed.
+const expectHeader = "expect"
 
 // forwardableHeaders returns the headers that may be forwarded. It drops hop-by-hop
 // headers, those that the Connection header lists, and those of this project.
@@ -40,11 +27,10 @@
 			listed[strings.ToLower(strings.TrimSpace(name))] = true
 		}
 	}
-	ownPrefix := strings.ToLower(lagoonbarrow.HeaderPrefix)
 	var kept []lagoonbarrow.HeaderField
 	for _, field := range fields {
 		name := strings.ToLower(field.Name)
-		if hopByHopHeaders[name] || listed[name] || strings.HasPrefix(name, ownPrefix) {
+		if header.IsHopByHop(name) || header.IsInternal(name) || listed[name] || name == expectHeader {
 			continue
 		}
 		kept = append(kept, field)
@@ -53,9 +39,9 @@
 }
 
 // headerFields returns the headers of an answer.
-func headerFields(header *fasthttp.ResponseHeader) []lagoonbarrow.HeaderField {
+func headerFields(response *fasthttp.ResponseHeader) []lagoonbarrow.HeaderField {
 	var fields []lagoonbarrow.HeaderField
-	for name, value := range header.All() {
+	for name, value := range response.All() {
 		field := lagoonbarrow.HeaderField{
 			Name:  string(name),
 			Value: string(value),
--- a/internal/request/entry/request.go
+++ b/internal/request/entry/request.go
@@ -9,24 +9,9 @@
 	"github.com/valyala/fasthttp"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/connection/header"
 )
 
-// hopByHopHeaders are the headers of one connection, which are not forwarded (RFC
-// 9110, 7.6.1).
-var hopByHopHeaders = map[string]bool{
-	"connection":          true,
-	"keep-alive":          true,
-	"proxy-authenticate":  true,
-	"proxy-authorization": true,
-	"proxy-connection":    true,
-	"te":                  true,
-	"trailer":             true,
-	"transfer-encoding":   true,
-	"upgrade":             true,
-	"host":                true,
-	"content-length":      true,
-}
-
 // forwardableHeaders copies the headers that may be forwarded. It also omits the
 // headers in drop, which are lower-case names.
 func forwardableHeaders(ctx *fasthttp.RequestCtx, drop ...string) []lagoonbarrow.HeaderField {
@@ -39,7 +24,7 @@
 	var fields []lagoonbarrow.HeaderField
 	for name, value := range ctx.Request.Header.All() {
 		lower := strings.ToLower(string(name))
-		if hopByHopHeaders[lower] || isInternalHeader(lower) || slices.Contains(drop, lower) {
+		if header.IsHopByHop(lower) || header.IsInternal(lower) || slices.Contains(drop, lower) {
 			continue
 		}
 		fields = append(fields, lagoonbarrow.HeaderField{
@@ -50,12 +35,6 @@
 	return fields
 }
 
-// isInternalHeader reports whether only nodes may set the header with this lower-case
-// name.
-func isInternalHeader(lower string) bool {
-	return strings.HasPrefix(lower, strings.ToLower(lagoonbarrow.HeaderPrefix))
-}
-
 // pathWithQuery returns the request's path and query as they were sent.
 func pathWithQuery(ctx *fasthttp.RequestCtx) string {
 	return string(ctx.RequestURI())
--- a/internal/request/entry/response.go
+++ b/internal/request/entry/response.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/connection/header"
 )
 
 // statusClientClosed is the non-standard status that access logs commonly show when
@@ -35,7 +36,7 @@
 	ctx.Response.Header.SetNoDefaultContentType(true)
 	for _, field := range answer.Header {
 		// fasthttp sets Content-Length and other hop-by-hop headers for this connection.
-		if !hopByHopHeaders[strings.ToLower(field.Name)] {
+		if !header.IsHopByHop(strings.ToLower(field.Name)) {
 			ctx.Response.Header.Add(field.Name, field.Value)
 		}
 	}
--- a/internal/request/entry/serve_test.go
+++ b/internal/request/entry/serve_test.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"lagoonbarrow"
+	"lagoonbarrow/internal/connection/header"
 )
 
 // Guards against invalid or refused requests that reach the caller, and against a
@@ -239,7 +240,7 @@
 		t.Errorf("call %+v", call)
 	}
 	for _, field := range call.Header {
-		if lower := strings.ToLower(field.Name); isInternalHeader(lower) || hopByHopHeaders[lower] || lower == "authorization" {
+		if lower := strings.ToLower(field.Name); header.IsInternal(lower) || header.IsHopByHop(lower) || lower == "authorization" {
 			t.Errorf("header %s reached the caller", field.Name)
 		}
 	}
