--- a/internal/process/registration/row_test.go
+++ b/internal/process/registration/row_test.go
@@ -39,6 +39,18 @@
 	return writer, server
 }
 
+// startWriterOf starts a writer of a row in the store until the test ends.
+func startWriterOf(t *testing.T, store lagoonbarrow.RowStore) *RowWriter {
+	t.Helper()
+	writer := NewRowWriter(RowWriterConfig{
+		Store:  store,
+		Logger: hclog.NewNullLogger(),
+	})
+	writer.Start()
+	t.Cleanup(writer.Stop)
+	return writer
+}
+
 // awaitRow waits until the row has the value.
 func awaitRow(t *testing.T, server *standin.Store, want string) {
 	t.Helper()
@@ -124,12 +136,7 @@
 // Guards against a write for each heartbeat although the value is the same.
 func TestUnchangedRowIsNotWrittenAgain(t *testing.T) {
 	store := &countingStore{}
-	writer := NewRowWriter(RowWriterConfig{
-		Store:  store,
-		Logger: hclog.NewNullLogger(),
-	})
-	writer.Start()
-	defer writer.Stop()
+	writer := startWriterOf(t, store)
 	writer.ObserveRow(lagoonbarrow.Row{}, 0)
 	for range 20 {
 		writer.SetValue([]byte("value"))
@@ -185,12 +192,7 @@
 // Guards against a write for each table from before the last write, which lacks it.
 func TestRowThatAnEarlierTableLacksIsNotWrittenAgain(t *testing.T) {
 	store := &countingStore{}
-	writer := NewRowWriter(RowWriterConfig{
-		Store:  store,
-		Logger: hclog.NewNullLogger(),
-	})
-	writer.Start()
-	defer writer.Stop()
+	writer := startWriterOf(t, store)
 	writer.ObserveRow(lagoonbarrow.Row{}, 0)
 	writer.SetValue([]byte("value"))
 	if err := writer.Wait(context.Background()); err != nil {
@@ -229,12 +231,7 @@
 	store := &lateStore{
 		released: make(chan struct{}),
 	}
-	writer := NewRowWriter(RowWriterConfig{
-		Store:  store,
-		Logger: hclog.NewNullLogger(),
-	})
-	writer.Start()
-	defer writer.Stop()
+	writer := startWriterOf(t, store)
 	writes := func() int {
 		store.mu.Lock()
 		defer store.mu.Unlock()
--- a/internal/request/backend/field_name_test.go
+++ b/internal/request/backend/field_name_test.go
@@ -1,14 +1,11 @@
 package backend
 
 import (
-	"context"
 	"fmt"
-	"net/http"
 	"strings"
 	"testing"
 
 	"lagoonbarrow"
-	"lagoonbarrow/platform"
 )
 
 // invalidFieldLines returns field lines whose name holds a blank or a control byte.
@@ -107,11 +104,7 @@
 	}
 	for _, test := range tests {
 		t.Run(fmt.Sprintf("%.30q", test.line), func(t *testing.T) {
-			s := startScriptedServer(t, respondWith("HTTP/1.1 200 OK\r\n"+test.line+"\r\nRequest-Id: r1\r\nResponse-Signature: s\r\nContent-Length: 2\r\n\r\nok", false))
-			client := newClient(t, s, func(config *Config) { config.Headers = platform.Headers() })
-			call := newCall(http.MethodGet)
-			call.Host = "one.example"
-			answer := client.Relay(context.Background(), call, farDeadline())
+			answer, _ := relayTo(t, "HTTP/1.1 200 OK\r\n"+test.line+"\r\nRequest-Id: r1\r\nResponse-Signature: s\r\nContent-Length: 2\r\n\r\nok", false)
 			if answer.Outcome != lagoonbarrow.OutcomeDone || string(answer.Body) != "ok" {
 				t.Fatalf("outcome %s, body %q", answer.Outcome, answer.Body)
 			}
@@ -166,11 +159,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			s := startScriptedServer(t, respondWith(test.answer, false))
-			client := newClient(t, s, func(config *Config) { config.Headers = platform.Headers() })
-			call := newCall(http.MethodGet)
-			call.Host = "one.example"
-			answer := client.Relay(context.Background(), call, farDeadline())
+			answer, _ := relayTo(t, test.answer, false)
 			if answer.Outcome != test.want {
 				t.Errorf("outcome %s, status %d, body %q, headers %q", answer.Outcome, answer.Status, answer.Body, answer.Header)
 			}
--- a/internal/request/backend/status_test.go
+++ b/internal/request/backend/status_test.go
@@ -54,6 +54,17 @@
 	}
 }
 
+// relayTo sends a request to a server that answers with the bytes, and returns the answer and the client.
+// The server closes the connection after them if closeAfterAnswer is set.
+func relayTo(t *testing.T, sent string, closeAfterAnswer bool) (*lagoonbarrow.Answer, *Client) {
+	t.Helper()
+	s := startScriptedServer(t, respondWith(sent, closeAfterAnswer))
+	client := newClient(t, s, func(config *Config) { config.Headers = platform.Headers() })
+	call := newCall(http.MethodGet)
+	call.Host = "one.example"
+	return client.Relay(context.Background(), call, farDeadline()), client
+}
+
 // Guards against valid answers that are taken for invalid ones.
 func TestUnusualStatusesAreAnswers(t *testing.T) {
 	const head = "\r\nRequest-Id: r1\r\nResponse-Signature: s\r\nContent-Length: 2\r\n\r\nok"
@@ -66,11 +77,7 @@
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 201 Created": 201,
 	} {
 		t.Run(line, func(t *testing.T) {
-			s := startScriptedServer(t, respondWith(line+head, false))
-			client := newClient(t, s, func(config *Config) { config.Headers = platform.Headers() })
-			call := newCall(http.MethodGet)
-			call.Host = "one.example"
-			answer := client.Relay(context.Background(), call, farDeadline())
+			answer, _ := relayTo(t, line+head, false)
 			if answer.Outcome != lagoonbarrow.OutcomeDone || answer.Status != want {
 				t.Errorf("outcome %s, status %d", answer.Outcome, answer.Status)
 			}
--- a/internal/request/backend/version_test.go
+++ b/internal/request/backend/version_test.go
@@ -1,13 +1,10 @@
 package backend
 
 import (
-	"context"
 	"fmt"
-	"net/http"
 	"testing"
 
 	"lagoonbarrow"
-	"lagoonbarrow/platform"
 )
 
 // spoiledVersions are versions with which a server doesn't answer. A body in chunks was read as one
@@ -53,11 +50,7 @@
 	const head = "HTTP/1.0 200 OK\r\nRequest-Id: r1\r\nResponse-Signature: s\r\n"
 	for _, rest := range []string{"Content-Length: 2\r\n\r\nok", "\r\nok"} {
 		t.Run(rest, func(t *testing.T) {
-			s := startScriptedServer(t, respondWith(head+rest, true))
-			client := newClient(t, s, func(config *Config) { config.Headers = platform.Headers() })
-			call := newCall(http.MethodGet)
-			call.Host = "one.example"
-			answer := client.Relay(context.Background(), call, farDeadline())
+			answer, client := relayTo(t, head+rest, true)
 			if answer.Outcome != lagoonbarrow.OutcomeDone || string(answer.Body) != "ok" {
 				t.Errorf("outcome %s, body %q", answer.Outcome, answer.Body)
 			}
--- a/pkg/caller/broken_answer_test.go
+++ b/pkg/caller/broken_answer_test.go
@@ -52,6 +52,24 @@
 	})
 }
 
+// checkNoAnswer fails unless the outcome of a request that gets these bytes, and then the end of the
+// connection, is unknown.
+func checkNoAnswer(t *testing.T, sent string) {
+	t.Helper()
+	address := script.Start(t, func(conn *net.TCPConn, in *bufio.Reader) {
+		if _, err := http.ReadRequest(in); err == nil {
+			_, _ = io.WriteString(conn, sent)
+		}
+	})
+	response, err := newClient(t, string(address)).Do(context.Background(), Request{
+		Method: http.MethodPost,
+		Path:   "/resolutions",
+	})
+	if !errors.Is(err, ErrUnknown) {
+		t.Errorf("response %+v, error %v", response, err)
+	}
+}
+
 // Guards against an answer in whose head a field name holds a blank or a control byte: the line was
 // passed on, or ended the head, so that the body was not the server's.
 func TestInvalidFieldNameIsNoAnswer(t *testing.T) {
@@ -69,18 +87,7 @@
 			"without length": status + names + line + end,
 		} {
 			t.Run(fmt.Sprintf("%q, %s", line, position), func(t *testing.T) {
-				address := script.Start(t, func(conn *net.TCPConn, in *bufio.Reader) {
-					if _, err := http.ReadRequest(in); err == nil {
-						_, _ = io.WriteString(conn, answer)
-					}
-				})
-				response, err := newClient(t, string(address)).Do(context.Background(), Request{
-					Method: http.MethodPost,
-					Path:   "/resolutions",
-				})
-				if !errors.Is(err, ErrUnknown) {
-					t.Errorf("response %+v, error %v", response, err)
-				}
+				checkNoAnswer(t, answer)
 			})
 		}
 	}
@@ -100,18 +107,7 @@
 	}
 	for _, answer := range answers {
 		t.Run(fmt.Sprintf("%q", answer), func(t *testing.T) {
-			address := script.Start(t, func(conn *net.TCPConn, in *bufio.Reader) {
-				if _, err := http.ReadRequest(in); err == nil {
-					_, _ = io.WriteString(conn, answer)
-				}
-			})
-			response, err := newClient(t, string(address)).Do(context.Background(), Request{
-				Method: http.MethodPost,
-				Path:   "/resolutions",
-			})
-			if !errors.Is(err, ErrUnknown) {
-				t.Errorf("response %+v, error %v", response, err)
-			}
+			checkNoAnswer(t, answer)
 		})
 	}
 }
