--- a/internal/connection/responsehead/head.go
+++ b/internal/connection/responsehead/head.go
@@ -97,7 +97,7 @@
 	status int
 	// isVersion10 is set with the status for a response of HTTP/1.0.
 	isVersion10 bool
-	// name compares the name of the current field with transferEncoding.
+	// name compares the name of the current field of such a response with transferEncoding.
 	name nameMatch
 	// previous is the last byte of the line so far.
 	previous byte
@@ -183,7 +183,7 @@
 	case isNameByte(next):
 		s.place = placeName
 		s.name = nameMatch{}
-		s.name.add(next)
+		s.addToName(next)
 	default:
 		return ErrInvalidField
 	}
@@ -200,11 +200,18 @@
 	case !isNameByte(next):
 		return ErrInvalidField
 	default:
-		s.name.add(next)
+		s.addToName(next)
 	}
 	return nil
 }
 
+// addToName adds a byte to the name of the current field, which matters for HTTP/1.0 only.
+func (s *scanner) addToName(next byte) {
+	if s.isVersion10 {
+		s.name.add(next)
+	}
+}
+
 // scanValue passes over a value. fasthttp refuses values with control bytes.
 func (s *scanner) scanValue(next byte) {
 	if next == '\n' {
