Name the version of the table, and check a read with a body in chunks

Names and comments after a read of the change; a follower passes on no version below its own. A GET with a body in chunks was served before and is served now.

--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -16,7 +16,7 @@
 	// OnOwnRow is called with this node's row in the table at a version; the row's own version is 0
 	// if it does not exist. It is called for each later version, also if the row has not changed. It
 	// may call the directory.
-	OnOwnRow func(row lagoonbarrow.Row, table lagoonbarrow.RowVersion)
+	OnOwnRow func(row lagoonbarrow.Row, tableVersion lagoonbarrow.RowVersion)
 	// OnChange is called with the ids of all instances after a change. It may be nil.
 	OnChange func(ids map[lagoonbarrow.InstanceID]bool)
 }
--- a/internal/process/directory/directory_test.go
+++ b/internal/process/directory/directory_test.go
@@ -14,8 +14,8 @@
 type ownRow struct {
 	version lagoonbarrow.RowVersion
 	row     lagoonbarrow.Row
-	// table is the version of the table in which the row is so.
-	table lagoonbarrow.RowVersion
+	// tableVersion is the version at which the table has the row so.
+	tableVersion lagoonbarrow.RowVersion
 }
 
 func newDirectory() (*Directory, *ownRow) {
@@ -23,10 +23,10 @@
 	return New(Config{
 		Self:   "self",
 		Logger: hclog.NewNullLogger(),
-		OnOwnRow: func(row lagoonbarrow.Row, table lagoonbarrow.RowVersion) {
+		OnOwnRow: func(row lagoonbarrow.Row, tableVersion lagoonbarrow.RowVersion) {
 			own.version = row.Version
 			own.row = row
-			own.table = table
+			own.tableVersion = tableVersion
 		},
 	}), own
 }
@@ -220,8 +220,8 @@
 	}
 	for _, test := range steps {
 		test.step()
-		if own.version != test.wantVersion || own.table != test.wantTable {
-			t.Errorf("%s: own row at version %s in the table at version %s", test.name, own.version, own.table)
+		if own.version != test.wantVersion || own.tableVersion != test.wantTable {
+			t.Errorf("%s: own row at version %s in the table at version %s", test.name, own.version, own.tableVersion)
 		}
 	}
 }
--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -137,13 +137,14 @@
 	if err != nil {
 		return 0, err
 	}
+	next = max(next, version)
 	if len(changes) > 0 || next > version {
 		f.config.Apply(changes, next)
 	}
 	if len(changes) > 0 {
 		backoff.Pause(ctx, f.config.BatchDelay)
 	}
-	return max(next, version), nil
+	return next, nil
 }
 
 // logTransition logs when calls begin to fail and when they succeed again.
--- a/internal/process/registration/row.go
+++ b/internal/process/registration/row.go
@@ -72,31 +72,31 @@
 	w.signal()
 }
 
-// ObserveRow records the row in the table at a version; the row's own version is 0 if it does not
-// exist. A table from before the last known write is ignored. A later one without that write has
-// lost it, or never had it since the store was restored: nothing else may tell of that.
-func (w *RowWriter) ObserveRow(row lagoonbarrow.Row, table lagoonbarrow.RowVersion) {
+// ObserveRow records the row as the table has it at a version; the row's own version is 0 if it does
+// not exist. A table from before the last known write is ignored. A later one without that write shows
+// that the store has lost it, which no change has to tell.
+func (w *RowWriter) ObserveRow(row lagoonbarrow.Row, tableVersion lagoonbarrow.RowVersion) {
 	w.mu.Lock()
 	previous := w.version
-	w.setWritten(row, table)
+	w.setWritten(row, tableVersion)
 	w.versionKnown = true
 	changed := w.version != previous
 	w.mu.Unlock()
 	if changed {
 		// Another writer, an earlier process of this node, a late write of this node or a
 		// restore of the store has changed the row.
-		w.config.Logger.Info("the node's row was changed or lost in the store", "exists", row.Version != 0, "version", row.Version.String(), "known-version", previous.String(), "table-version", table.String())
+		w.config.Logger.Info("the node's row was changed or lost in the store", "exists", row.Version != 0, "version", row.Version.String(), "known-version", previous.String(), "table-version", tableVersion.String())
 	}
 	w.signal()
 }
 
 // setWritten sets the row as it is in the table at a version, unless it is known at a later one. The
 // caller holds the mutex.
-func (w *RowWriter) setWritten(row lagoonbarrow.Row, table lagoonbarrow.RowVersion) {
-	if table < w.knownAt {
+func (w *RowWriter) setWritten(row lagoonbarrow.Row, tableVersion lagoonbarrow.RowVersion) {
+	if tableVersion < w.knownAt {
 		return
 	}
-	w.knownAt = max(table, row.Version)
+	w.knownAt = max(tableVersion, row.Version)
 	if row.Version == w.version && w.versionKnown {
 		return
 	}
@@ -189,15 +189,15 @@
 
 // reread reads the row's value and version after a conflict or an unknown outcome.
 func (w *RowWriter) reread(ctx context.Context) {
-	rows, table, err := w.config.Store.Rows(ctx, w.config.Table)
+	rows, tableVersion, err := w.config.Store.Rows(ctx, w.config.Table)
 	if err != nil {
 		w.config.Logger.Warn("reading the node's row failed", "error", err)
 		return
 	}
 	own := slices.IndexFunc(rows, func(row lagoonbarrow.Row) bool { return row.Key == w.config.Key })
 	if own < 0 {
-		w.ObserveRow(lagoonbarrow.Row{}, table)
+		w.ObserveRow(lagoonbarrow.Row{}, tableVersion)
 		return
 	}
-	w.ObserveRow(rows[own], table)
+	w.ObserveRow(rows[own], tableVersion)
 }
--- a/internal/process/sidecar/instance.go
+++ b/internal/process/sidecar/instance.go
@@ -56,12 +56,12 @@
 
 // ownRowRead processes this node's row in the table at a version. The first one read was
 // written by an earlier process, which may have acknowledged that the backend server leaves.
-func (s *Sidecar) ownRowRead(row lagoonbarrow.Row, table lagoonbarrow.RowVersion) {
+func (s *Sidecar) ownRowRead(row lagoonbarrow.Row, tableVersion lagoonbarrow.RowVersion) {
 	if !s.ownRowKnown.Swap(true) && row.Version != 0 {
 		s.restoreDeparture(row)
 	}
 	// Only now may the row be written, as it may be the only record of the departure.
-	s.rowWriter.ObserveRow(row, table)
+	s.rowWriter.ObserveRow(row, tableVersion)
 }
 
 // restoreDeparture processes a row that an earlier process of this node has written.
--- a/internal/request/entry/head_test.go
+++ b/internal/request/entry/head_test.go
@@ -123,6 +123,12 @@
 			status: http.StatusOK,
 			body:   "ok",
 		},
+		{
+			name:   "chunked body of a read",
+			head:   "GET /a HTTP/1.1\r\nHost: one.example\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n" + chunkedBody,
+			status: http.StatusOK,
+			body:   "ok",
+		},
 		{
 			name:   "chunked and a length",
 			head:   start + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n" + chunkedBody + nextRequest,
--- a/pkg/caller/connection.go
+++ b/pkg/caller/connection.go
@@ -60,8 +60,9 @@
 	return n, err
 }
 
-// Read reads a part of an answer. It returns an error of responsehead for an invalid head. An end of file after a write that failed is an unexpected one, because
-// net/http would take it for the end of an answer without a length.
+// Read reads a part of an answer. It returns an error of responsehead for an invalid head. An end of
+// file after a write that failed is an unexpected one, because net/http would take it for the end of
+// an answer without a length.
 func (c *connection) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
 	if scanErr := c.scan(data[:n]); scanErr != nil {
