Take no field of a request from behind its body

A request in chunks whose head has no Request-Id or Deadline-Ms got them from the trailer behind its body.

Change: the entry keeps the head as it was before the body was read. Fields of a trailer were not passed on before either.

Evidence: TestTrailerOfARequestIsNoPartOfItsHead failed before.

--- a/internal/request/entry/body.go
+++ b/internal/request/entry/body.go
@@ -63,7 +63,7 @@
 		_ = ctx.Conn().Close()
 	})
 	defer usage.Release()
-	body, err := memory.ReadBody(ctx.RequestBodyStream(), usage, ctx.Request.Header.ContentLength(), b.limits.MaxBodyBytes)
+	body, err := readBody(ctx, usage, b.limits.MaxBodyBytes)
 	if err == nil && (!usage.Complete() || !b.connections.mark(ctx.Conn(), stateServing)) {
 		err = lagoonbarrow.ErrShed
 	}
@@ -77,6 +77,18 @@
 	ctx.Request.SetBodyRaw(nil)
 }
 
+// readBody reads the whole body of a request. The fields of the trailer of a body in chunks are
+// dropped: fasthttp finds them among those of the head.
+func readBody(ctx *fasthttp.RequestCtx, usage *memory.Usage, limit int) ([]byte, error) {
+	length := ctx.Request.Header.ContentLength()
+	if length == lengthChunked {
+		var head fasthttp.RequestHeader
+		ctx.Request.Header.CopyTo(&head)
+		defer head.CopyTo(&ctx.Request.Header)
+	}
+	return memory.ReadBody(ctx.RequestBodyStream(), usage, length, limit)
+}
+
 // refuse answers a request whose head is invalid or whose body was not read, and closes its connection.
 func (b *bodyReader) refuse(ctx *fasthttp.RequestCtx, cause error) {
 	handleReadError(ctx, cause)
--- a/internal/request/entry/head_test.go
+++ b/internal/request/entry/head_test.go
@@ -165,6 +165,38 @@
 	checkHeads(t, tests)
 }
 
+// Guards against a field behind the body of a request that counts as one of its head: an id, a key or a
+// deadline that the head doesn't have, or a field that is passed on to a server.
+func TestTrailerOfARequestIsNoPartOfItsHead(t *testing.T) {
+	const head = "POST /a HTTP/1.1\r\nHost: one.example\r\nConnection: close\r\nX-Kept: a\r\nTransfer-Encoding: chunked\r\n"
+	const trailer = "Request-Id: r2\r\nDeadline-Ms: 5\r\nX-Kept: b\r\nX-Added: c\r\n"
+	fields := make(chan string, 1)
+	address := startTestServer(t, Limits{
+		MaxBodyBytes:   largestBodyBytes,
+		MaxHeaderBytes: 17 << 10,
+		MaxConnections: 100,
+	}, func(ctx *fasthttp.RequestCtx) {
+		fields <- fmt.Sprint(forwardableHeaders(ctx), string(ctx.Request.Body()), ctx.Request.Header.Peek("Request-Id"), ctx.Request.Header.Peek("Deadline-Ms"))
+	})
+	var want string
+	for _, request := range []string{
+		head + "\r\n" + chunkedBody,
+		head + "\r\n2\r\nok\r\n0\r\n" + trailer + "\r\n",
+		head + "Trailer: Request-Id, X-Added\r\n\r\n2\r\nok\r\n0\r\n" + trailer + "\r\n",
+	} {
+		if status := sendHead(t, address, request); status != http.StatusOK {
+			t.Fatalf("%q: status %d", request, status)
+		}
+		got := <-fields
+		if want == "" {
+			want = got
+		}
+		if got != want {
+			t.Errorf("%q: fields %s, want %s", request, got, want)
+		}
+	}
+}
+
 // Guards against a spoiled version of a request that changes where its body ends.
 func TestSpoiledVersionOfARequest(t *testing.T) {
 	const fields = "\r\nHost: one.example\r\nConnection: close\r\n"
